--- /dev/null
+++ b/src/admin/mod.ts
@@ -0,0 +1,3 @@
+/** Operators' endpoints. */
+
+export { type AdminSources, createBroker } from "./server.ts";
--- /dev/null
+++ b/src/cli/daemon_commands.ts
@@ -0,0 +1,84 @@
+/** Commands that run a process until a signal ends it. */
+
+import type { Command } from "commander";
+import { format } from "../common/finding.ts";
+import { logger, setLevel } from "../common/log.ts";
+import type { Schema } from "../common/schema.ts";
+import {
+  load,
+  routerSettings,
+  sideProcessSettings,
+} from "../configuration/mod.ts";
+import { Router } from "../router/mod.ts";
+import { SideProcess } from "../side_process/mod.ts";
+import { ExitCode } from "./exit_code.ts";
+
+const log = logger("cli");
+
+interface Daemon {
+  start(): Promise<void>;
+  close(): Promise<void>;
+}
+
+interface DaemonSettings {
+  readonly logLevel?: "debug" | "info" | "warn" | "error";
+}
+
+/** Adds `router` and `side-process`. */
+export function addDaemonCommands(program: Command): void {
+  addDaemon(program, "router", {
+    description: "Run a router until SIGTERM or SIGINT",
+    schema: routerSettings,
+    create: (settings) => new Router(settings),
+  });
+  addDaemon(program, "side-process", {
+    description: "Run the side process of a backend server until a signal",
+    schema: sideProcessSettings,
+    create: (settings) => new SideProcess(settings),
+  });
+}
+
+function addDaemon<T extends DaemonSettings>(
+  program: Command,
+  name: string,
+  daemon: {
+    readonly description: string;
+    readonly schema: Schema<T>;
+    readonly create: (settings: T) => Daemon;
+  },
+): void {
+  program
+    .command(name)
+    .description(daemon.description)
+    .requiredOption("--settings <file>", "JSON file with the settings")
+    .addHelpText(
+      "after",
+      `\nExample:\n  oriolerouter ${name} --settings ${name}.json`,
+    )
+    .action(async ({ settings: file }: { settings: string }) => {
+      const settings = await load(file, daemon.schema);
+      if (settings.isErr()) {
+        log.error(`Settings in ${file} are not valid`);
+        process.stderr.write(`${format(settings.error)}\n`);
+        process.exit(ExitCode.USAGE);
+      }
+      setLevel(settings.value.logLevel ?? "info");
+      await runUntilSignal(daemon.create(settings.value));
+    });
+}
+
+async function runUntilSignal(daemon: Daemon): Promise<void> {
+  const signal = new Promise<void>((resolve) => {
+    process.once("SIGTERM", () => resolve());
+    process.once("SIGINT", () => resolve());
+  });
+  try {
+    await daemon.start();
+  } catch (error) {
+    log.error(`Can't start: ${(error as Error).message}`);
+    process.exit(ExitCode.UNAVAILABLE);
+  }
+  await signal;
+  await daemon.close();
+  process.exit(ExitCode.OK);
+}
--- /dev/null
+++ b/src/configuration/json_text.ts
@@ -0,0 +1,58 @@
+/** JSON text with the line of each value. */
+
+import * as jsonc from "jsonc-parser";
+import { err, ok, type Result } from "neverthrow";
+import type { Finding } from "../common/finding.ts";
+import type { Schema } from "../common/schema.ts";
+
+/** JSON text that parsed. */
+export class JsonText {
+  readonly #text: string;
+  readonly #root: jsonc.Node;
+
+  private constructor(text: string, root: jsonc.Node) {
+    this.#text = text;
+    this.#root = root;
+  }
+
+  /** Parses text; every syntax error is a finding. */
+  static parse(text: string): Result<JsonText, Finding[]> {
+    const errors: jsonc.ParseError[] = [];
+    const root = jsonc.parseTree(text, errors, { disallowComments: true });
+    if (root !== undefined && errors.length === 0) {
+      return ok(new JsonText(text, root));
+    }
+    if (errors.length === 0) {
+      return err([{ path: "", line: 1, message: "Text is empty" }]);
+    }
+    return err(
+      errors.map(({ error, offset }) => ({
+        path: "",
+        line: lineAt(text, offset),
+        message: `Text is not JSON: ${jsonc.printParseErrorCode(error)}`,
+      })),
+    );
+  }
+
+  /** Returns the value as `T`, or findings with their lines. */
+  check<T>(schema: Schema<T>): Result<T, Finding[]> {
+    return schema
+      .check(jsonc.getNodeValue(this.#root))
+      .mapErr((findings) => findings.map((finding) => this.place(finding)));
+  }
+
+  /** Adds the line to a finding. */
+  place({ path, message }: { path: string; message: string }): Finding {
+    const steps = path
+      .split("/")
+      .slice(1)
+      .map((step) => (/^\d+$/.test(step) ? Number(step) : step));
+    const node = jsonc.findNodeAtLocation(this.#root, steps);
+    const offset = node?.offset ?? this.#root.offset;
+    return { path, line: lineAt(this.#text, offset), message };
+  }
+}
+
+function lineAt(text: string, offset: number): number {
+  return text.slice(0, offset).split("\n").length;
+}
--- /dev/null
+++ b/src/fairness/ledger.ts
@@ -0,0 +1,266 @@
+/**
+ * Normalised service of each team, shared by the side processes of a service.
+ *
+ * Each process counts what it charged and refunded; a team's value is a level
+ * plus all counters of its epoch. Counters and levels merge by maximum, epochs
+ * by the highest, so updates may come in any order, twice, or not at all.
+ */
+
+import type { LedgerEntry } from "../protocol/mod.ts";
+
+/** Origins an entry may name before its counters are folded into its level. */
+const ORIGIN_LIMIT = 64;
+/** Debt that a team can owe, in units of the largest single charge. */
+const DEBT_LIMIT_CHARGES = 50;
+
+interface Counter {
+  charged: number;
+  refunded: number;
+}
+
+interface Entry {
+  epoch: number;
+  level: number;
+  /** Debt beyond the limit that this process has let go. */
+  forgiven: number;
+  readonly counters: Map<string, Counter>;
+  /** Origins at which the team waits. */
+  readonly waitingAt: Set<string>;
+  /** Requests charged here that have not ended. */
+  open: number;
+}
+
+/** One process's view of every team that was served or waits. */
+export class Ledger {
+  readonly #origin: string;
+  readonly #entries = new Map<string, Entry>();
+  #epoch = 0;
+  #floor = 0;
+  #largestCharge = 0;
+
+  constructor(origin: string) {
+    this.#origin = origin;
+  }
+
+  /** Number of teams with state. */
+  get size(): number {
+    return this.#entries.size;
+  }
+
+  /** Value that a team returning from idle is raised to. */
+  get floor(): number {
+    return this.#floor;
+  }
+
+  /** Returns a team's normalised service. */
+  value(team: string): number {
+    const entry = this.#entries.get(team);
+    return entry === undefined ? this.#floor : valueOf(entry);
+  }
+
+  /** Returns the normalised service of every team with state. */
+  values(): Record<string, number> {
+    const values: Record<string, number> = {};
+    for (const [team, entry] of this.#entries) values[team] = valueOf(entry);
+    return values;
+  }
+
+  /** Charges normalised service for a request that begins. */
+  open(team: string, amount: number): void {
+    const entry = this.#entry(team);
+    entry.open += 1;
+    this.charge(team, amount);
+  }
+
+  /** Says that a charged request has ended. */
+  close(team: string): void {
+    const entry = this.#entry(team);
+    entry.open = Math.max(0, entry.open - 1);
+  }
+
+  /** Adds normalised service; a negative amount is a refund. */
+  charge(team: string, amount: number): void {
+    const entry = this.#entry(team);
+    const own = this.#own(entry);
+    if (amount >= 0) own.charged += amount;
+    else own.refunded -= amount;
+    this.#largestCharge = Math.max(this.#largestCharge, amount);
+  }
+
+  /** Notes whether a team waits here; raises it when it returns from idle. */
+  setWaiting(team: string, waiting: boolean): void {
+    if (!waiting) {
+      this.#entries.get(team)?.waitingAt.delete(this.#origin);
+      return;
+    }
+    const entry = this.#entry(team);
+    if (entry.waitingAt.size === 0 && entry.open === 0) this.#raise(entry);
+    entry.waitingAt.add(this.#origin);
+  }
+
+  /** Moves the floor up to what is served without anybody waiting. */
+  advance(team: string): void {
+    this.#floor = Math.max(this.#floor, this.value(team));
+  }
+
+  /** Returns the least served of the teams, and moves the floor up to it. */
+  leastServed(teams: Iterable<string>): string | null {
+    let least: string | null = null;
+    let leastValue = Number.POSITIVE_INFINITY;
+    for (const team of teams) {
+      const value = this.value(team);
+      if (value >= leastValue) continue;
+      least = team;
+      leastValue = value;
+    }
+    if (least !== null) this.#floor = Math.max(this.#floor, leastValue);
+    return least;
+  }
+
+  /** Takes an update of a peer; returns whether the peer is behind. */
+  merge(update: LedgerEntry): boolean {
+    this.#epoch = Math.max(this.#epoch, update.epoch);
+    const entry = this.#entries.get(update.team) ?? this.#adopt(update);
+    if (update.waiting) entry.waitingAt.add(update.origin);
+    else entry.waitingAt.delete(update.origin);
+    if (update.epoch < entry.epoch) return true;
+    if (update.epoch > entry.epoch) {
+      const before = valueOf(entry);
+      reset(entry, update.epoch, update.level);
+      mergeCounter(entry, update);
+      // What this process charged in the old epoch must not be lost.
+      entry.level += Math.max(0, before - valueOf(entry));
+    } else {
+      entry.level = Math.max(entry.level, update.level);
+      mergeCounter(entry, update);
+    }
+    this.#forgive(entry);
+    return false;
+  }
+
+  /** Returns a team's state as this process spreads it. */
+  entry(team: string): LedgerEntry | null {
+    const entry = this.#entries.get(team);
+    if (entry === undefined) return null;
+    return toUpdate(team, entry, this.#origin, this.#isWaiting(entry));
+  }
+
+  /** Returns everything, counters of other origins too, for a new peer. */
+  snapshot(): LedgerEntry[] {
+    const updates: LedgerEntry[] = [];
+    for (const [team, entry] of this.#entries) {
+      const origins = new Set([this.#origin, ...entry.counters.keys()]);
+      for (const origin of origins) {
+        const waiting = entry.waitingAt.has(origin);
+        updates.push(toUpdate(team, entry, origin, waiting));
+      }
+    }
+    return updates;
+  }
+
+  /** Forgets that teams wait at a process that is gone. */
+  forget(origin: string): void {
+    for (const entry of this.#entries.values()) entry.waitingAt.delete(origin);
+  }
+
+  /** Drops what has no effect any more: idle teams at or below the floor. */
+  collect(): void {
+    for (const [team, entry] of this.#entries) {
+      if (entry.counters.size > ORIGIN_LIMIT) this.#fold(entry);
+      const idle = entry.waitingAt.size === 0 && entry.open === 0;
+      if (idle && valueOf(entry) <= this.#floor) this.#entries.delete(team);
+    }
+  }
+
+  #isWaiting(entry: Entry): boolean {
+    return entry.waitingAt.has(this.#origin);
+  }
+
+  #entry(team: string): Entry {
+    const known = this.#entries.get(team);
+    if (known !== undefined) return known;
+    this.#epoch += 1;
+    const entry = createEntry(this.#epoch, this.#floor);
+    this.#entries.set(team, entry);
+    return entry;
+  }
+
+  #adopt(update: LedgerEntry): Entry {
+    const entry = createEntry(update.epoch, update.level);
+    this.#entries.set(update.team, entry);
+    return entry;
+  }
+
+  #own(entry: Entry): Counter {
+    return counterOf(entry, this.#origin);
+  }
+
+  #raise(entry: Entry): void {
+    entry.level += Math.max(0, this.#floor - valueOf(entry));
+  }
+
+  #fold(entry: Entry): void {
+    this.#epoch += 1;
+    reset(entry, this.#epoch, valueOf(entry));
+  }
+
+  #forgive(entry: Entry): void {
+    const limit = this.#floor + DEBT_LIMIT_CHARGES * this.#largestCharge;
+    if (this.#largestCharge === 0) return;
+    entry.forgiven += Math.max(0, valueOf(entry) - limit);
+  }
+}
+
+function createEntry(epoch: number, level: number): Entry {
+  return {
+    epoch,
+    level,
+    forgiven: 0,
+    counters: new Map(),
+    waitingAt: new Set(),
+    open: 0,
+  };
+}
+
+function reset(entry: Entry, epoch: number, level: number): void {
+  entry.epoch = epoch;
+  entry.level = level;
+  entry.forgiven = 0;
+  entry.counters.clear();
+}
+
+function valueOf({ level, forgiven, counters }: Entry): number {
+  let value = level - forgiven;
+  for (const { charged, refunded } of counters.values()) {
+    value += charged - refunded;
+  }
+  return value;
+}
+
+function counterOf(entry: Entry, origin: string): Counter {
+  const known = entry.counters.get(origin);
+  if (known !== undefined) return known;
+  const counter = { charged: 0, refunded: 0 };
+  entry.counters.set(origin, counter);
+  return counter;
+}
+
+function mergeCounter(entry: Entry, update: LedgerEntry): void {
+  if (update.charged === 0 && update.refunded === 0) return;
+  const counter = counterOf(entry, update.origin);
+  counter.charged = Math.max(counter.charged, update.charged);
+  counter.refunded = Math.max(counter.refunded, update.refunded);
+}
+
+function toUpdate(
+  team: string,
+  entry: Entry,
+  origin: string,
+  waiting: boolean,
+): LedgerEntry {
+  const { epoch, level } = entry;
+  const counter = entry.counters.get(origin);
+  const charged = counter?.charged ?? 0;
+  const refunded = counter?.refunded ?? 0;
+  return { team, epoch, level, origin, charged, refunded, waiting };
+}
--- /dev/null
+++ b/src/fairness/meter.ts
@@ -0,0 +1,29 @@
+/** What a request costs under a contract. */
+
+import type { Meter } from "../configuration/mod.ts";
+
+/** What a request used. */
+export interface Usage {
+  readonly promptTokens: number;
+  readonly generatedTokens: number;
+}
+
+/** Returns the cost of a request in progress, in the meter's units. */
+export function runningCost(meter: Meter, kind: string, usage: Usage): number {
+  switch (meter.type) {
+    case "tokens":
+      return (
+        meter.promptWeight * usage.promptTokens +
+        meter.generatedWeight * usage.generatedTokens
+      );
+    case "completed":
+      return meter.weightByKind[kind] ?? meter.defaultWeight;
+    default:
+      return meter satisfies never;
+  }
+}
+
+/** Returns the cost of a request that ended without a whole answer. */
+export function failedCost(meter: Meter, kind: string, usage: Usage): number {
+  return meter.type === "completed" ? 0 : runningCost(meter, kind, usage);
+}
--- /dev/null
+++ b/src/fairness/mod.ts
@@ -0,0 +1,6 @@
+/** Fair order of teams: meters, estimates, and the shared ledger. */
+
+export { Estimator, type Expectation } from "./estimator.ts";
+export { Ledger } from "./ledger.ts";
+export { failedCost, runningCost, type Usage } from "./meter.ts";
+export { CounterSpread } from "./spread.ts";
--- /dev/null
+++ b/src/metrics/process_metrics.ts
@@ -0,0 +1,28 @@
+/** Series that every process shows. */
+
+import type { Traffic } from "../transport/mod.ts";
+import type { Registry } from "./registry.ts";
+
+/** What the series are read from. */
+export interface ProcessSources {
+  readonly traffic: Traffic;
+  configurationVersion(): number;
+  platformCalls(): number;
+}
+
+/** Registers the series. */
+export function register(registry: Registry, sources: ProcessSources): void {
+  const { totals } = sources.traffic;
+  registry.gauge("oriole_configuration_version", () =>
+    sources.configurationVersion(),
+  );
+  registry.gauge("oriole_control_bytes", () => totals.controlBytes);
+  registry.gauge("oriole_control_messages", () => totals.controlMessages);
+  registry.gauge("oriole_body_bytes", () => totals.bodyBytes);
+  registry.gauge("oriole_platform_calls", () => sources.platformCalls());
+  registry.gauge("oriole_cpu_seconds", () => {
+    const { user, system } = process.cpuUsage();
+    return (user + system) / 1e6;
+  });
+  registry.gauge("oriole_resident_bytes", () => process.memoryUsage.rss());
+}
--- /dev/null
+++ b/src/platform/instance_list.ts
@@ -0,0 +1,123 @@
+/** The platform's list of live and leaving instances. */
+
+import { err, ok, type Result } from "neverthrow";
+import { request } from "undici";
+import type { Clock } from "../common/clock.ts";
+import { Schema } from "../common/schema.ts";
+import { sleep } from "../common/signal.ts";
+
+/** Shortest time between two reads of the list. */
+const SHORTEST_POLL_MS = 1_000;
+/** Added per listed instance, so that reads of a fleet stay few. */
+const POLL_PER_INSTANCE_MS = 5;
+const READ_TIMEOUT_MS = 2_000;
+
+/** One instance as the platform lists it. */
+export interface Instance {
+  readonly name: string;
+  readonly role: "router" | "side-process";
+  /** Service of the backend server beside it; empty for a router. */
+  readonly service: string;
+  readonly host: string;
+  readonly port: number;
+  readonly adminPort: number;
+  readonly availabilityZone: string;
+  readonly state: "live" | "leaving";
+}
+
+const text = { type: "string" };
+const schema = new Schema<{ instances: Instance[] }>({
+  type: "object",
+  required: ["instances"],
+  properties: {
+    instances: {
+      type: "array",
+      items: {
+        type: "object",
+        required: ["name", "role", "host", "port", "availabilityZone", "state"],
+        properties: {
+          name: text,
+          role: { enum: ["router", "side-process"] },
+          service: text,
+          host: text,
+          port: { type: "integer" },
+          adminPort: { type: "integer" },
+          availabilityZone: text,
+          state: { enum: ["live", "leaving"] },
+        },
+      },
+    },
+  },
+});
+
+/** Reads the list once. */
+export async function read(
+  platformUrl: string,
+): Promise<Result<readonly Instance[], string>> {
+  try {
+    const response = await request(`${platformUrl}/v1/instances`, {
+      signal: AbortSignal.timeout(READ_TIMEOUT_MS),
+    });
+    const body = await response.body.text();
+    if (response.statusCode !== 200) {
+      return err(`Instance list answered status ${response.statusCode}`);
+    }
+    const checked = schema.check(JSON.parse(body));
+    if (checked.isErr()) return err("Instance list is not valid");
+    return ok(checked.value.instances);
+  } catch (error) {
+    return err(error instanceof Error ? error.message : String(error));
+  }
+}
+
+/** Reads the list again and again; a failed read keeps the last one. */
+export class InstanceList {
+  readonly #platformUrl: string;
+  readonly #clock: Clock;
+  readonly #stop = new AbortController();
+  #instances: readonly Instance[] = [];
+  #calls = 0;
+  #readAtMs = Number.NEGATIVE_INFINITY;
+
+  constructor(platformUrl: string, clock: Clock) {
+    this.#platformUrl = platformUrl;
+    this.#clock = clock;
+  }
+
+  /** The list as last read. */
+  get instances(): readonly Instance[] {
+    return this.#instances;
+  }
+
+  /** Reads made since the start. */
+  get calls(): number {
+    return this.#calls;
+  }
+
+  /** Milliseconds since the last successful read. */
+  get ageMs(): number {
+    return this.#clock.monotonicMs() - this.#readAtMs;
+  }
+
+  /** Reads until `close`, calling `changed` after each read. */
+  async run(changed: (list: readonly Instance[]) => void): Promise<void> {
+    while (!this.#stop.signal.aborted) {
+      this.#calls += 1;
+      const list = await read(this.#platformUrl);
+      if (list.isOk()) {
+        this.#instances = list.value;
+        this.#readAtMs = this.#clock.monotonicMs();
+        changed(list.value);
+      }
+      const jitter = 0.75 + Math.random() / 2;
+      const sizeMs = this.#instances.length * POLL_PER_INSTANCE_MS;
+      const everyMs = Math.max(SHORTEST_POLL_MS, sizeMs);
+      await sleep(everyMs * jitter, this.#stop.signal);
+    }
+  }
+
+  /** Ends `run`. */
+  close(): void {
+    this.#stop.abort();
+  }
+}
--- /dev/null
+++ b/src/platform/mod.ts
@@ -0,0 +1,10 @@
+/** What the platform gives: objects and the list of instances. */
+
+export { type Instance, InstanceList, read } from "./instance_list.ts";
+export {
+  type ObjectName,
+  ObjectStore,
+  type StoredObject,
+} from "./object_store.ts";
+export { rank } from "./rendezvous.ts";
+export { describe, type StoreError } from "./store_error.ts";
--- /dev/null
+++ b/src/platform/object_store.ts
@@ -0,0 +1,154 @@
+/** Client of the platform's object API, over HTTP with entity tags. */
+
+import { err, ok, type Result } from "neverthrow";
+import { Agent, request } from "undici";
+import type { StoreError } from "./store_error.ts";
+
+/** Longest wait for an answer, but for watches. */
+const CALL_TIMEOUT_MS = 2_000;
+/** Retry time when the platform names none. */
+const DEFAULT_RETRY_MS = 500;
+
+/** An object with its version. */
+export interface StoredObject {
+  readonly version: number;
+  readonly value: unknown;
+}
+
+/** Names an object. */
+export interface ObjectName {
+  readonly kind: string;
+  readonly name: string;
+}
+
+interface Call {
+  readonly method: "GET" | "PUT" | "DELETE";
+  readonly query?: Record<string, number>;
+  readonly headers?: Record<string, string>;
+  readonly body?: string;
+  readonly timeoutMs?: number;
+}
+
+/** Reads, writes and watches objects; every call has a timeout. */
+export class ObjectStore {
+  readonly #url: string;
+  readonly #agent = new Agent({ connections: 8, pipelining: 1 });
+  #calls = 0;
+
+  constructor(url: string) {
+    this.#url = url;
+  }
+
+  /** Calls made since the start, a waiting watch as one. */
+  get calls(): number {
+    return this.#calls;
+  }
+
+  /** Reads an object. */
+  async get(name: ObjectName): Promise<Result<StoredObject, StoreError>> {
+    return await this.#call(name, { method: "GET" });
+  }
+
+  /** Creates an object; `conflict` when it exists. */
+  async create(
+    name: ObjectName,
+    value: unknown,
+  ): Promise<Result<number, StoreError>> {
+    return await this.#write(name, value, { "if-none-match": "*" });
+  }
+
+  /** Replaces an object if its version is still `expected`. */
+  async update(
+    name: ObjectName,
+    value: unknown,
+    { expected }: { readonly expected: number },
+  ): Promise<Result<number, StoreError>> {
+    return await this.#write(name, value, { "if-match": `"${expected}"` });
+  }
+
+  /** Waits for a version above `after`; null when none came in time. */
+  async watch(
+    name: ObjectName,
+    {
+      after,
+      timeoutMs,
+    }: { readonly after: number; readonly timeoutMs: number },
+  ): Promise<Result<StoredObject | null, StoreError>> {
+    const stored = await this.#call(name, {
+      method: "GET",
+      query: { watch: after, timeoutMs },
+      timeoutMs: timeoutMs + CALL_TIMEOUT_MS,
+    });
+    if (stored.isOk() && stored.value.version <= after) return ok(null);
+    return stored;
+  }
+
+  /** Closes idle connections. */
+  async close(): Promise<void> {
+    await this.#agent.destroy();
+  }
+
+  async #write(
+    name: ObjectName,
+    value: unknown,
+    headers: Record<string, string>,
+  ): Promise<Result<number, StoreError>> {
+    const body = JSON.stringify(value);
+    const written = await this.#call(name, { method: "PUT", headers, body });
+    return written.map(({ version }) => version);
+  }
+
+  async #call(
+    { kind, name }: ObjectName,
+    { method, query, headers, body, timeoutMs = CALL_TIMEOUT_MS }: Call,
+  ): Promise<Result<StoredObject, StoreError>> {
+    this.#calls += 1;
+    const url = `${this.#url}/v1/objects/${kind}/${encodeURIComponent(name)}`;
+    try {
+      const response = await request(url, {
+        method,
+        query,
+        headers: { "content-type": "application/json", ...headers },
+        body: body ?? null,
+        dispatcher: this.#agent,
+        signal: AbortSignal.timeout(timeoutMs),
+      });
+      const text = await response.body.text();
+      return interpret(response.statusCode, response.headers, text);
+    } catch (error) {
+      const sentence = error instanceof Error ? error.message : String(error);
+      if (method === "GET") {
+        return err(unavailable(sentence, DEFAULT_RETRY_MS));
+      }
+      return err({ type: "answer-lost", sentence });
+    }
+  }
+}
+
+function unavailable(sentence: string, retryAfterMs: number): StoreError {
+  return { type: "unavailable", sentence, retryAfterMs };
+}
+
+function interpret(
+  status: number,
+  headers: Record<string, string | string[] | undefined>,
+  text: string,
+): Result<StoredObject, StoreError> {
+  const version = Number(String(headers.etag ?? "0").replaceAll('"', ""));
+  switch (status) {
+    case 200:
+    case 201:
+      return ok({ version, value: text === "" ? null : JSON.parse(text) });
+    case 304:
+      return ok({ version, value: null });
+    case 404:
+      return err({ type: "not-found" });
+    case 412:
+      return err({ type: "conflict" });
+    default: {
+      const seconds = Number(headers["retry-after"] ?? 0);
+      const retryAfterMs = seconds > 0 ? seconds * 1_000 : DEFAULT_RETRY_MS;
+      return err(unavailable(`Status ${status}`, retryAfterMs));
+    }
+  }
+}
--- /dev/null
+++ b/src/protocol/field_numbers.ts
@@ -0,0 +1,22 @@
+/** Integer keys that stand for field names in encoded messages. */
+
+/**
+ * Field names in the order of their numbers, from 1. New names go to the end;
+ * a change of order is a change of protocol version.
+ */
+const FIELD_NAMES = [
+  ...["type", "attempt", "team", "offset", "bytes", "count", "oldestAgeMs"],
+  ...["grant", "expiresMs", "waiting", "free", "slots", "nextMs"],
+  ...["configurationVersion", "request", "kind", "method", "path", "headers"],
+  ...["body", "idempotent", "idempotencyKey", "remainingMs", "costHint"],
+  ...["head", "code", "retryAfterMs", "status", "outcome", "sentence"],
+  ...["entries", "epoch", "level", "origin", "charged", "refunded", "claim"],
+  ...["key", "bodyHash", "state", "leaseMs", "holder", "query", "crash"],
+  ...["fingerprints", "fingerprint", "version", "text", "protocolVersion"],
+  ...["role", "instance", "incarnation", "availabilityZone", "service"],
+  ...["challenge", "proof"],
+] as const;
+
+/** Field names with their numbers. */
+export const fieldNumbers: Readonly<Record<string, number>> =
+  Object.fromEntries(FIELD_NAMES.map((name, index) => [name, index + 1]));
--- /dev/null
+++ b/src/protocol/schema.ts
@@ -0,0 +1,122 @@
+/** Schemas of the messages, checked on arrival. */
+
+import type { Result } from "neverthrow";
+import type { Finding } from "../common/finding.ts";
+import { Schema } from "../common/schema.ts";
+import type { Message } from "./message.ts";
+
+const text = { type: "string", maxLength: 4096 };
+const count = { type: "integer", minimum: 0 };
+const amount = { type: "number", minimum: 0 };
+const flag = { type: "boolean" };
+const bytes = { bytes: true };
+const header = { type: "array", items: text, minItems: 2, maxItems: 2 };
+const headers = { type: "array", maxItems: 200, items: header };
+const attempt = text;
+
+const ledgerEntry = object({
+  team: text,
+  epoch: count,
+  level: { type: "number" },
+  origin: text,
+  charged: amount,
+  refunded: amount,
+  waiting: flag,
+});
+
+const fieldsByType: Record<Message["type"], Record<string, object>> = {
+  hello: {
+    protocolVersion: count,
+    role: { enum: ["router", "side-process"] },
+    instance: text,
+    incarnation: text,
+    availabilityZone: text,
+    service: text,
+    challenge: bytes,
+  },
+  proof: { proof: bytes },
+  heartbeat: { nextMs: amount, configurationVersion: count },
+  leaving: {},
+  "configuration-request": {},
+  configuration: { version: count, text: { type: "string" } },
+  demand: { team: text, count, oldestAgeMs: amount },
+  grant: { grant: count, team: text, expiresMs: amount },
+  "grant-unused": { grant: count, team: text, waiting: count },
+  availability: { free: count, slots: count },
+  run: {
+    attempt,
+    request: text,
+    grant: count,
+    team: text,
+    kind: text,
+    method: text,
+    path: { type: "string", maxLength: 16384 },
+    headers,
+    body: bytes,
+    idempotent: flag,
+    idempotencyKey: text,
+    remainingMs: amount,
+    costHint: amount,
+    waiting: count,
+  },
+  cancel: { attempt },
+  acknowledge: { attempt, offset: count },
+  resume: { attempt, offset: count, head: flag },
+  refused: { attempt, code: text, retryAfterMs: amount },
+  head: { attempt, status: count, headers },
+  data: { attempt, offset: count, bytes },
+  end: { attempt, offset: count },
+  failed: {
+    attempt,
+    outcome: { enum: ["not-run", "unknown", "ran"] },
+    code: text,
+    sentence: text,
+    retryAfterMs: amount,
+  },
+  counters: { entries: { type: "array", items: ledgerEntry } },
+  claim: { claim: count, key: text, attempt, bodyHash: text },
+  "claim-answer": { claim: count, state: text, leaseMs: amount, holder: text },
+  settle: {
+    key: text,
+    attempt,
+    outcome: { enum: ["answered", "not-run", "unknown"] },
+    status: count,
+    headers,
+    body: bytes,
+  },
+  "key-query": { query: count, key: text },
+  "key-answer": {
+    query: count,
+    state: { enum: ["none", "running", "answered", "not-run", "unknown"] },
+    attempt,
+    bodyHash: text,
+    status: count,
+    headers,
+    body: bytes,
+  },
+  strike: { crash: text, fingerprints: { type: "array", items: text } },
+  clear: { fingerprint: text },
+};
+
+function object(properties: Record<string, object>): object {
+  return {
+    type: "object",
+    required: Object.keys(properties),
+    additionalProperties: false,
+    properties,
+  };
+}
+
+const schema = new Schema<Message>({
+  type: "object",
+  required: ["type"],
+  discriminator: { propertyName: "type" },
+  oneOf: Object.entries(fieldsByType).map(([type, fields]) =>
+    object({ type: { const: type }, ...fields }),
+  ),
+});
+
+/** Returns the value as a message, or the findings. */
+export function parse(value: unknown): Result<Message, Finding[]> {
+  return schema.check(value);
+}
--- /dev/null
+++ b/src/router/entry.ts
@@ -0,0 +1,178 @@
+/** Where callers connect: HTTP by moleculer-web. */
+
+import { randomUUID } from "node:crypto";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import type { ServiceBroker } from "moleculer";
+import ApiGateway from "moleculer-web";
+import { err, ok, type Result } from "neverthrow";
+import type { Service } from "../configuration/mod.ts";
+import { CallerAnswer } from "./caller_answer.ts";
+import { badRequest, type Failure } from "./failure.ts";
+import { type Address, type Reader, readBody } from "./reader.ts";
+import type { Serving } from "./serving.ts";
+
+const CHAT_PATH = "/v1/chat/completions";
+const SERVICES_PREFIX = "/services/";
+/** Largest body read before its model is known. */
+const MODEL_BODY_LIMIT_BYTES = 8 * 1024 * 1024;
+/** Longest wait for a caller to send its headers and body. */
+const REQUEST_TIMEOUT_MS = 60_000;
+
+/** What the entry hands requests to. */
+export interface EntryParts {
+  readonly reader: Reader;
+  readonly serving: Serving;
+}
+
+/** Adds the callers' gateway to the local service container. */
+export function createEntry(
+  broker: ServiceBroker,
+  parts: EntryParts,
+  { host, port }: { readonly host: string; readonly port: number },
+): void {
+  const handle = (request: IncomingMessage, response: ServerResponse) => {
+    void new Exchange(parts, request, response).run();
+  };
+  broker.createService({
+    name: "entry",
+    mixins: [ApiGateway],
+    settings: {
+      ip: host,
+      port,
+      httpServerTimeout: null,
+      routes: [
+        {
+          path: "/",
+          bodyParsers: false,
+          mappingPolicy: "restrict",
+          aliases: {
+            [`POST ${CHAT_PATH}`]: handle,
+            [`${SERVICES_PREFIX}:name`]: handle,
+            [`${SERVICES_PREFIX}:name/:rest*`]: handle,
+          },
+        },
+      ],
+    },
+    started() {
+      const { server } = this as unknown as { server: Server };
+      server.requestTimeout = REQUEST_TIMEOUT_MS;
+    },
+  });
+}
+
+interface Incoming {
+  readonly address: Address;
+  readonly body: Buffer;
+}
+
+/** One request and its answer. */
+class Exchange {
+  readonly #parts: EntryParts;
+  readonly #request: IncomingMessage;
+  readonly #answer: CallerAnswer;
+  readonly #url: string;
+
+  constructor(
+    parts: EntryParts,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ) {
+    this.#parts = parts;
+    this.#request = request;
+    this.#answer = new CallerAnswer(response, randomUUID());
+    this.#url =
+      (request as { originalUrl?: string }).originalUrl ?? request.url ?? "/";
+  }
+
+  /** Answers the request; never rejects. */
+  async run(): Promise<void> {
+    const { reader, serving } = this.#parts;
+    const team = reader.authenticate(this.#request);
+    if (team.isErr()) return this.#answer.fail(team.error);
+    const read = await this.#read();
+    if (read.isErr()) return this.#answer.fail(read.error);
+    const { address, body } = read.value;
+    const admitted = reader.admit(
+      this.#request,
+      { team: team.value, body },
+      address,
+    );
+    if (admitted.isErr()) return this.#answer.fail(admitted.error);
+    await serving.serve(admitted.value, this.#answer);
+  }
+
+  async #read(): Promise<Result<Incoming, Failure>> {
+    return this.#url.startsWith(SERVICES_PREFIX)
+      ? await this.#readPlain()
+      : await this.#readChat();
+  }
+
+  async #readPlain(): Promise<Result<Incoming, Failure>> {
+    const rest = this.#url.slice(SERVICES_PREFIX.length);
+    const [, name = "", path = ""] = /^([^/?]*)(.*)$/.exec(rest) ?? [];
+    const service = this.#parts.reader
+      .service(decode(name))
+      .andThen((found) => requireType(found, "plain"));
+    if (service.isErr()) return err(service.error);
+    const body = await readBody(this.#request, service.value.maxBodyBytes);
+    const address = {
+      service: service.value.name,
+      path: path.startsWith("/") ? path : `/${path}`,
+    };
+    return body.map((body) => ({ address, body }));
+  }
+
+  async #readChat(): Promise<Result<Incoming, Failure>> {
+    const { reader } = this.#parts;
+    const body = await readBody(this.#request, MODEL_BODY_LIMIT_BYTES);
+    if (body.isErr()) return err(body.error);
+    const model = readModel(body.value);
+    if (model.isErr()) return err(model.error);
+    const service = reader
+      .service(model.value)
+      .andThen((found) => requireType(found, "model"));
+    if (service.isErr()) return err(service.error);
+    const { name, maxBodyBytes } = service.value;
+    if (body.value.length > maxBodyBytes) {
+      const sentence = `Body is longer than ${maxBodyBytes} bytes`;
+      return err(badRequest(413, "body-too-long", { sentence }));
+    }
+    const address = { service: name, path: CHAT_PATH };
+    return ok({ address, body: body.value });
+  }
+}
+
+function readModel(body: Buffer): Result<string, Failure> {
+  let value: unknown;
+  try {
+    value = JSON.parse(body.toString("utf8"));
+  } catch (error) {
+    const sentence = `Body is not JSON: ${(error as Error).message}`;
+    return err(badRequest(400, "bad-json", { sentence }));
+  }
+  const { model, messages } = (value ?? {}) as Record<string, unknown>;
+  const bad = (field: string, rule: string) => {
+    const sentence = `Field "${field}" must be ${rule}`;
+    return err(badRequest(400, "bad-field", { sentence }));
+  };
+  if (typeof model !== "string") return bad("model", "the name of a service");
+  if (!Array.isArray(messages)) return bad("messages", "a list");
+  return ok(model);
+}
+
+function requireType(
+  service: Service,
+  type: Service["type"],
+): Result<Service, Failure> {
+  if (service.type === type) return ok(service);
+  const sentence = `Service "${service.name}" is not a ${type} service`;
+  return err(badRequest(404, "unknown-service", { sentence }));
+}
+
+function decode(text: string): string {
+  try {
+    return decodeURIComponent(text);
+  } catch {
+    return text;
+  }
+}
--- /dev/null
+++ b/src/router/mod.ts
@@ -0,0 +1,3 @@
+/** The entry instances that callers connect to. */
+
+export { Router } from "./router.ts";
--- /dev/null
+++ b/src/router/side_peer.ts
@@ -0,0 +1,224 @@
+/** A side process as one router sees it, over all its connections. */
+
+import type { Clock } from "../common/clock.ts";
+import { Deadline } from "../common/deadline.ts";
+import { logger } from "../common/log.ts";
+import { type ActiveConfiguration, spread } from "../configuration/mod.ts";
+import type { Instance } from "../platform/mod.ts";
+import type { Grant, Message, Run } from "../protocol/mod.ts";
+import {
+  type Connection,
+  type ConnectionOwner,
+  type Credentials,
+  Dialer,
+} from "../transport/mod.ts";
+import { Attempt } from "./attempt.ts";
+
+const log = logger("router");
+
+/** How long attempts wait for a new connection before they are lost. */
+const RESUME_MS = 5_000;
+/** Attempts to cancel once the side process can be reached again. */
+const CANCELS_LIMIT = 10_000;
+
+/** What a peer tells its router. */
+export interface PeerListener {
+  granted(peer: SidePeer, grant: Grant): void;
+  connected(peer: SidePeer): void;
+  disconnected(peer: SidePeer): void;
+}
+
+/** What a peer shares with the rest of the process. */
+export interface SidePeerParts {
+  readonly clock: Clock;
+  readonly active: ActiveConfiguration;
+  readonly credentials: Credentials;
+  readonly owner: ConnectionOwner;
+  readonly listener: PeerListener;
+}
+
+/** Sends runs, routes answers, resumes on new connections. */
+export class SidePeer {
+  readonly instance: Instance;
+  readonly #parts: SidePeerParts;
+  readonly #dialer: Dialer;
+  readonly #attempts = new Map<string, Attempt>();
+  #connection: Connection | null = null;
+  #incarnation = "";
+  #cancels: string[] = [];
+  #lossTimer: NodeJS.Timeout | null = null;
+  #saysLeaving = false;
+  #listedLeaving = false;
+  #free = 0;
+  #slots = 1;
+
+  constructor(instance: Instance, parts: SidePeerParts) {
+    this.instance = instance;
+    this.#parts = parts;
+    this.#dialer = new Dialer(parts.credentials, parts.owner, {
+      serve: (connection) => this.#serve(connection),
+    });
+  }
+
+  /** Whether it can be sent new work. */
+  get usable(): boolean {
+    return this.#connection !== null && !this.#saysLeaving && !this.leaving;
+  }
+
+  /** Whether the platform lists it as leaving. */
+  get leaving(): boolean {
+    return this.#listedLeaving;
+  }
+
+  /** Share of its slots that is thought free, from 0 to 1. */
+  get freeShare(): number {
+    return this.usable ? this.#free / this.#slots : 0;
+  }
+
+  /** Attempts that have not ended. */
+  get inProgress(): number {
+    return this.#attempts.size;
+  }
+
+  /** Keeps a connection until `close`. */
+  async run(): Promise<void> {
+    const { host, port } = this.instance;
+    await this.#dialer.run({ host, port });
+  }
+
+  /** Ends the connection for good; what is in progress is lost. */
+  close(): void {
+    this.#dialer.close();
+    this.#loseAll(`Side process ${this.instance.name} has gone`);
+  }
+
+  /** Notes what the instance list says. */
+  setListedLeaving(leaving: boolean): void {
+    this.#listedLeaving = leaving;
+  }
+
+  /** Sends a message if connected. */
+  send(message: Message): void {
+    this.#connection?.send(message);
+  }
+
+  /** Announces the configuration version. */
+  announce(): void {
+    this.#connection?.announce();
+  }
+
+  /** Hands a request over and returns the attempt. */
+  start(run: Run): Attempt {
+    const attempt = new Attempt(run, this.#incarnation);
+    this.#attempts.set(run.attempt, attempt);
+    this.#free = Math.max(0, this.#free - 1);
+    this.send(run);
+    this.#connection?.setBusy(true);
+    if (this.#connection === null) {
+      attempt.lose("Connection closed before the request was sent");
+    }
+    return attempt;
+  }
+
+  /** Forgets an attempt that has ended. */
+  finish({ run }: Attempt): void {
+    this.#attempts.delete(run.attempt);
+    this.#connection?.setBusy(this.#attempts.size > 0);
+  }
+
+  /** Cancels an attempt, now or when the peer can be reached again. */
+  cancel({ run }: Attempt): void {
+    this.#attempts.delete(run.attempt);
+    if (this.#connection !== null) {
+      this.send({ type: "cancel", attempt: run.attempt });
+    } else if (this.#cancels.length < CANCELS_LIMIT) {
+      this.#cancels.push(run.attempt);
+    }
+  }
+
+  async #serve(connection: Connection): Promise<void> {
+    this.#connect(connection);
+    for await (const message of connection.messages) {
+      if (spread.handle(this.#parts.active, connection, message)) continue;
+      this.#handle(message);
+    }
+    this.#disconnect(connection);
+  }
+
+  #connect(connection: Connection): void {
+    this.#stopLossTimer();
+    this.#connection = connection;
+    this.#saysLeaving = false;
+    this.#free = 0;
+    this.#incarnation = connection.peer.incarnation;
+    for (const attempt of [...this.#attempts.values()]) {
+      if (attempt.incarnation === this.#incarnation) this.#resume(attempt);
+      else attempt.lose(`Side process ${this.instance.name} has restarted`);
+    }
+    for (const attempt of this.#cancels) this.send({ type: "cancel", attempt });
+    this.#cancels = [];
+    connection.setBusy(this.#attempts.size > 0);
+    this.#parts.listener.connected(this);
+  }
+
+  #resume({ run, offset, hasHead: head }: Attempt): void {
+    const { attempt } = run;
+    this.send({ type: "resume", attempt, offset, head });
+  }
+
+  #disconnect(connection: Connection): void {
+    if (this.#connection !== connection) return;
+    this.#connection = null;
+    this.#free = 0;
+    this.#parts.listener.disconnected(this);
+    this.#startLossTimer();
+  }
+
+  #startLossTimer(): void {
+    this.#stopLossTimer();
+    const deadline = new Deadline(this.#parts.clock, RESUME_MS);
+    this.#lossTimer = setTimeout(() => {
+      const { name } = this.instance;
+      this.#loseAll(`Side process ${name} did not answer for ${RESUME_MS} ms`);
+    }, deadline.remainingMs);
+  }
+
+  #stopLossTimer(): void {
+    if (this.#lossTimer !== null) clearTimeout(this.#lossTimer);
+    this.#lossTimer = null;
+  }
+
+  #loseAll(sentence: string): void {
+    for (const attempt of this.#attempts.values()) attempt.lose(sentence);
+  }
+
+  #handle(message: Message): void {
+    switch (message.type) {
+      case "grant":
+        this.#parts.listener.granted(this, message);
+        return;
+      case "availability":
+        this.#free = message.free;
+        this.#slots = Math.max(1, message.slots);
+        return;
+      case "leaving":
+        this.#saysLeaving = true;
+        return;
+      case "refused":
+        if (message.code === "busy") this.#free = 0;
+        this.#attempts.get(message.attempt)?.receive(message);
+        return;
+      case "end":
+        this.#free = Math.min(this.#slots, this.#free + 1);
+        this.#attempts.get(message.attempt)?.receive(message);
+        return;
+      case "head":
+      case "data":
+      case "failed":
+        this.#attempts.get(message.attempt)?.receive(message);
+        return;
+      default:
+        log.warn(`Ignored ${message.type} of ${this.instance.name}`);
+    }
+  }
+}
--- /dev/null
+++ b/src/side_process/attempt.ts
@@ -0,0 +1,242 @@
+/** One attempt of one request at the backend server. */
+
+import type { Clock } from "../common/clock.ts";
+import { Deadline } from "../common/deadline.ts";
+import { sleep } from "../common/signal.ts";
+import type {
+  Failed,
+  FailedOutcome,
+  Message,
+  Resume,
+  Run,
+} from "../protocol/mod.ts";
+import { AnswerBuffer } from "./answer_buffer.ts";
+import type { BackendClient, BackendError, Reply } from "./backend_client.ts";
+import type { Charge, Ending } from "./charge.ts";
+import { UsageScanner } from "./usage_scanner.ts";
+
+/** Silence after which a resumable answer is asked for again. */
+const ENGINE_SILENCE_MS = 2_000;
+/** Wait before an engine is asked again after an error. */
+const ENGINE_RETRY_MS = 200;
+/** How long an engine that broke off is asked for the rest. */
+const ENGINE_RESUME_MS = 3_000;
+/** The router gives up first; this process only cleans up after it. */
+const DEADLINE_GRACE_MS = 500;
+
+/** Where an attempt's answer goes. */
+export interface AnswerReceiver {
+  send(message: Message): void;
+}
+
+/** What an attempt needs. */
+export interface AttemptParts {
+  readonly clock: Clock;
+  readonly backend: BackendClient;
+  readonly charge: Charge;
+}
+
+/** How an attempt ended. */
+export type AttemptResult =
+  | { readonly type: "answered" }
+  | { readonly type: "failed"; readonly failure: Failed };
+
+/** Runs a request, keeps its answer until acknowledged, resumes it. */
+export class Attempt {
+  readonly run: Run;
+  readonly buffer = new AnswerBuffer();
+  readonly #parts: AttemptParts;
+  readonly #deadline: Deadline;
+  readonly #usage = new UsageScanner();
+  readonly #abort = new AbortController();
+  #receiver: AnswerReceiver | null;
+  #result: AttemptResult | null = null;
+  #crashed = false;
+  #lastByteMs = 0;
+
+  constructor(run: Run, parts: AttemptParts, receiver: AnswerReceiver) {
+    this.run = run;
+    this.#parts = parts;
+    this.#receiver = receiver;
+    const remainingMs = run.remainingMs + DEADLINE_GRACE_MS;
+    this.#deadline = new Deadline(parts.clock, remainingMs);
+  }
+
+  /** The result once there is one. */
+  get result(): AttemptResult | null {
+    return this.#result;
+  }
+
+  /** Where the answer goes now. */
+  get receiver(): AnswerReceiver | null {
+    return this.#receiver;
+  }
+
+  /** Whether nothing of it is needed any more. */
+  get finished(): boolean {
+    if (this.#result === null) return false;
+    return this.#result.type === "failed" || this.buffer.delivered;
+  }
+
+  /** Runs to the end; never rejects. */
+  async execute(): Promise<AttemptResult> {
+    const timer = setTimeout(
+      () => this.#abort.abort("deadline"),
+      this.#deadline.remainingMs,
+    );
+    const failure = await this.#answer();
+    clearTimeout(timer);
+    const ending: Ending = failure === null ? "answered" : "failed";
+    this.#parts.charge.settle(ending, this.#usage.final);
+    if (failure === null) {
+      this.buffer.end();
+      this.#result = { type: "answered" };
+      this.#send(this.#endMessage());
+    } else {
+      this.#result = { type: "failed", failure };
+      this.#send(failure);
+    }
+    return this.#result;
+  }
+
+  /** Ends the attempt because nobody waits for its answer. */
+  cancel(reason: string): void {
+    this.buffer.abandon();
+    if (this.#result !== null) return;
+    this.#abort.abort(reason);
+    if (!this.#parts.backend.resumable) return;
+    void this.#parts.backend.cancel(this.run.attempt);
+  }
+
+  /** Says that the backend server has restarted: the request is lost. */
+  crash(): void {
+    this.#crashed = true;
+    this.#abort.abort("Backend server restarted");
+  }
+
+  /** Stops sending until a new connection resumes. */
+  detach(receiver: AnswerReceiver): void {
+    if (this.#receiver === receiver) this.#receiver = null;
+  }
+
+  /** Sends on a new connection what the router does not have. */
+  resume(receiver: AnswerReceiver, { offset, head }: Resume): void {
+    this.#receiver = receiver;
+    if (!head) this.#sendHead();
+    for (const piece of this.buffer.from(offset) ?? []) {
+      this.#sendPiece(piece.offset, piece.bytes);
+    }
+    if (this.#result?.type === "failed") this.#send(this.#result.failure);
+    else if (this.#result !== null) this.#send(this.#endMessage());
+  }
+
+  /** Returns null once the answer is whole. */
+  async #answer(): Promise<Failed | null> {
+    const { backend } = this.#parts;
+    const { signal } = this.#abort;
+    let reply = await backend.start(this.run, signal);
+    const resumeUntil = () => new Deadline(this.#parts.clock, ENGINE_RESUME_MS);
+    let giveUp = resumeUntil();
+    for (;;) {
+      const before = this.buffer.endOffset;
+      const broken = reply.isErr()
+        ? reply.error
+        : await this.#read(reply.value);
+      if (broken === null) return null;
+      if (this.buffer.endOffset > before) giveUp = resumeUntil();
+      if (broken.type !== "broken" || !backend.resumable) {
+        return this.#failure(broken);
+      }
+      if (signal.aborted || giveUp.expired) return this.#failure(broken);
+      if (reply.isErr()) await sleep(ENGINE_RETRY_MS, signal);
+      const offset = this.buffer.endOffset;
+      reply = await backend.resume(this.run.attempt, offset, { signal });
+    }
+  }
+
+  /** Passes an answer on; returns what broke it off, or null at its end. */
+  async #read(reply: Reply): Promise<BackendError | null> {
+    if (this.buffer.head === null) {
+      const { status, headers } = reply;
+      this.buffer.head = { status, headers };
+      this.#sendHead();
+    }
+    const stopWatching = this.#watch(reply);
+    try {
+      for await (const bytes of reply.body) {
+        this.#lastByteMs = this.#parts.clock.monotonicMs();
+        this.#pass(bytes);
+        await this.#room();
+      }
+      return null;
+    } catch (error) {
+      return broken((error as Error).message);
+    } finally {
+      stopWatching();
+    }
+  }
+
+  /** Abandons an answer that is silent, so that it is asked for again. */
+  #watch(reply: Reply): () => void {
+    const { backend, clock } = this.#parts;
+    if (!backend.resumable) return () => undefined;
+    this.#lastByteMs = clock.monotonicMs();
+    const timer = setInterval(() => {
+      const silentMs = clock.monotonicMs() - this.#lastByteMs;
+      if (silentMs > ENGINE_SILENCE_MS) reply.abandon();
+    }, ENGINE_SILENCE_MS / 4);
+    return () => clearInterval(timer);
+  }
+
+  /** Waits for the caller; that time is not the server's silence. */
+  async #room(): Promise<void> {
+    await this.buffer.room();
+    this.#lastByteMs = this.#parts.clock.monotonicMs();
+  }
+
+  #pass(bytes: Buffer): void {
+    this.#usage.push(bytes);
+    this.#parts.charge.grow(this.#usage.running);
+    const piece = this.buffer.append(bytes);
+    this.#sendPiece(piece.offset, piece.bytes);
+  }
+
+  #failure(error: BackendError): Failed {
+    const head = this.buffer.head !== null;
+    const outcome: FailedOutcome =
+      error.type === "not-sent" ? "not-run" : head ? "ran" : "unknown";
+    return {
+      type: "failed",
+      attempt: this.run.attempt,
+      outcome,
+      code: this.#crashed ? "backend-crashed" : `backend-${error.type}`,
+      sentence: error.sentence,
+      retryAfterMs: 1_000,
+    };
+  }
+
+  #endMessage(): Message {
+    const { attempt } = this.run;
+    return { type: "end", attempt, offset: this.buffer.endOffset };
+  }
+
+  #sendHead(): void {
+    const { head } = this.buffer;
+    if (head === null) return;
+    const { attempt } = this.run;
+    this.#send({ type: "head", attempt, ...head });
+  }
+
+  #sendPiece(offset: number, bytes: Buffer): void {
+    const { attempt } = this.run;
+    this.#send({ type: "data", attempt, offset, bytes });
+  }
+
+  #send(message: Message): void {
+    this.#receiver?.send(message);
+  }
+}
+
+function broken(sentence: string): BackendError {
+  return { type: "broken", sentence };
+}
--- /dev/null
+++ b/src/side_process/backend_watch.ts
@@ -0,0 +1,77 @@
+/** Follows the health of the backend server, on connections of its own. */
+
+import { logger } from "../common/log.ts";
+import { sleep } from "../common/signal.ts";
+import type { BackendClient } from "./backend_client.ts";
+
+const log = logger("side-process");
+
+const CHECK_MS = 250;
+/** Failed checks in a row after which the server counts as down. */
+const FAILURES = 2;
+
+/** Called when the server's state changes. */
+export interface BackendListener {
+  up(): void;
+  down(): void;
+  /** The server came back without memory of its requests. */
+  restarted(): void;
+}
+
+/** The task that checks one backend server. */
+export class BackendWatch {
+  readonly #backend: BackendClient;
+  readonly #listener: BackendListener;
+  readonly #stop = new AbortController();
+  #up = false;
+  #failures = 0;
+  #incarnation = "";
+
+  constructor(backend: BackendClient, listener: BackendListener) {
+    this.#backend = backend;
+    this.#listener = listener;
+  }
+
+  /** Whether the server answers. */
+  get isUp(): boolean {
+    return this.#up;
+  }
+
+  /** Checks until `close`. */
+  async run(): Promise<void> {
+    while (!this.#stop.signal.aborted) {
+      const health = await this.#backend.health();
+      if (health === null) this.#fail();
+      else this.#succeed(health.incarnation);
+      await sleep(CHECK_MS, this.#stop.signal);
+    }
+  }
+
+  /** Ends `run`. */
+  close(): void {
+    this.#stop.abort();
+  }
+
+  #succeed(incarnation: string): void {
+    this.#failures = 0;
+    const restarted =
+      this.#incarnation !== "" && this.#incarnation !== incarnation;
+    this.#incarnation = incarnation;
+    if (restarted) {
+      log.warn("Backend server has restarted");
+      this.#listener.restarted();
+    }
+    if (this.#up) return;
+    this.#up = true;
+    log.info("Backend server is up");
+    this.#listener.up();
+  }
+
+  #fail(): void {
+    this.#failures += 1;
+    if (!this.#up || this.#failures < FAILURES) return;
+    this.#up = false;
+    log.warn("Backend server does not answer");
+    this.#listener.down();
+  }
+}
--- /dev/null
+++ b/src/side_process/mod.ts
@@ -0,0 +1,3 @@
+/** The process beside each backend server. */
+
+export { SideProcess } from "./side_process.ts";
--- /dev/null
+++ b/src/transport/mod.ts
@@ -0,0 +1,8 @@
+/** Framed CBOR connections between the system's own processes. */
+
+export { Connection, type ConnectionOwner } from "./connection.ts";
+export { Dialer } from "./dialer.ts";
+export type { Credentials } from "./handshake.ts";
+export type { Identity } from "./identity.ts";
+export { type ListenAddress, Listener } from "./listener.ts";
+export { Traffic, type TrafficTotals } from "./traffic.ts";
--- /dev/null
+++ b/stand_ins/engine/job.ts
@@ -0,0 +1,111 @@
+/** One request inside the stand-in engine. */
+
+import { createHash } from "node:crypto";
+import type { Execution } from "../run_log.ts";
+
+/** What a request asks of the engine. */
+export interface JobRequest {
+  readonly id: string;
+  readonly model: string;
+  readonly stream: boolean;
+  readonly prompt: string;
+  readonly maxTokens: number;
+  readonly crash: boolean;
+}
+
+/** Generates an answer token by token; keeps it for resumes. */
+export class Job {
+  readonly request: JobRequest;
+  readonly execution: Execution;
+  promptTokensLeft: number;
+  readonly promptTokens: number;
+  generated = 0;
+  ended = false;
+  cancelled = false;
+  #answer = "";
+  #listeners = new Set<() => void>();
+
+  constructor(
+    request: JobRequest,
+    execution: Execution,
+    { cachedTokens }: { readonly cachedTokens: number },
+  ) {
+    this.request = request;
+    this.execution = execution;
+    this.promptTokens = Math.ceil(request.prompt.length / 4);
+    this.promptTokensLeft = Math.max(1, this.promptTokens - cachedTokens);
+  }
+
+  /** The answer so far. */
+  get answer(): Buffer {
+    return Buffer.from(this.#answer);
+  }
+
+  /** Adds one token; ends after the last one. */
+  generate(): void {
+    this.generated += 1;
+    if (this.request.stream) this.#write(this.#event());
+    if (this.generated < this.request.maxTokens) return;
+    this.#write(this.request.stream ? this.#lastEvents() : this.#whole());
+    this.end();
+  }
+
+  /** Ends the answer as it stands. */
+  end(): void {
+    this.ended = true;
+    this.#notify();
+  }
+
+  /** Calls the listener whenever the answer grows or ends. */
+  listen(listener: () => void): () => void {
+    this.#listeners.add(listener);
+    return () => this.#listeners.delete(listener);
+  }
+
+  #write(text: string): void {
+    this.#answer += text;
+    this.#notify();
+  }
+
+  #notify(): void {
+    for (const listener of this.#listeners) listener();
+  }
+
+  #event(): string {
+    const content = tokenAt(this.request.prompt, this.generated);
+    const choices = [{ index: 0, delta: { content } }];
+    return `data: ${JSON.stringify({ choices })}\n\n`;
+  }
+
+  #lastEvents(): string {
+    const usage = this.#usage();
+    return `data: ${JSON.stringify({ choices: [], usage })}\n\ndata: [DONE]\n\n`;
+  }
+
+  #whole(): string {
+    const { prompt, maxTokens } = this.request;
+    const content = expectedText(prompt, maxTokens);
+    const message = { role: "assistant", content };
+    const choices = [{ index: 0, message, finish_reason: "stop" }];
+    return JSON.stringify({ choices, usage: this.#usage() });
+  }
+
+  #usage(): object {
+    return {
+      prompt_tokens: this.promptTokens,
+      completion_tokens: this.generated,
+    };
+  }
+}
+
+/** Returns the token that a prompt's answer has at a place, from 1. */
+export function tokenAt(prompt: string, place: number): string {
+  const hash = createHash("sha256").update(`${place}\n${prompt}`);
+  return `${hash.digest("hex").slice(0, 6)} `;
+}
+
+/** Returns the whole text that answers a prompt. */
+export function expectedText(prompt: string, tokens: number): string {
+  const places = Array.from({ length: tokens }, (_, index) => index + 1);
+  return places.map((place) => tokenAt(prompt, place)).join("");
+}
--- /dev/null
+++ b/stand_ins/plain_service/main.ts
@@ -0,0 +1,45 @@
+/**
+ * A plain service: echoes what it got, after a while, and logs each run.
+ * `main.js --port N --work-ms N`
+ */
+
+import { createHash, randomUUID } from "node:crypto";
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { setTimeout as delay } from "node:timers/promises";
+import { parseArgs } from "node:util";
+import { readBody, sendJson, serve } from "../http.ts";
+import { RunLog } from "../run_log.ts";
+
+const { values } = parseArgs({
+  options: {
+    port: { type: "string", default: "0" },
+    "work-ms": { type: "string", default: "10" },
+  },
+});
+const workMs = Number(values["work-ms"]);
+const incarnation = randomUUID();
+const log = new RunLog();
+
+async function handle(
+  request: IncomingMessage,
+  response: ServerResponse,
+  url: URL,
+): Promise<void> {
+  response.setHeader("x-incarnation", incarnation);
+  if (url.pathname === "/health") {
+    sendJson(response, 200, {});
+  } else if (url.pathname === "/executions") {
+    sendJson(response, 200, log.executions);
+  } else {
+    const body = await readBody(request);
+    const execution = log.start(request, body);
+    await delay(Number(url.searchParams.get("workMs") ?? workMs));
+    log.finish(execution);
+    const status = Number(url.searchParams.get("status") ?? 200);
+    const bodyHash = createHash("sha256").update(body).digest("hex");
+    const { method } = request;
+    sendJson(response, status, { method, path: url.pathname, bodyHash });
+  }
+}
+
+await serve(handle, Number(values.port));
--- /dev/null
+++ b/stand_ins/platform/objects.ts
@@ -0,0 +1,118 @@
+/** Versioned objects with conditional updates and watches. */
+
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { readBody } from "../http.ts";
+import type { Faults } from "./faults.ts";
+
+const SIZE_LIMIT_BYTES = 1024 * 1024;
+
+interface StoredObject {
+  version: number;
+  text: string;
+}
+
+/** The object API. */
+export class Objects {
+  readonly #faults: Faults;
+  readonly #objects = new Map<string, StoredObject>();
+  readonly #waiting = new Map<string, Set<() => void>>();
+  calls = 0;
+
+  constructor(faults: Faults) {
+    this.#faults = faults;
+  }
+
+  /** Handles one HTTP request. */
+  async handle(
+    request: IncomingMessage,
+    response: ServerResponse,
+    url: URL,
+  ): Promise<void> {
+    this.calls += 1;
+    const name = url.pathname;
+    if (request.method === "PUT") await this.#put(name, request, response);
+    else if (url.searchParams.has("watch")) {
+      await this.#watch(name, url, response);
+    } else this.#get(name, response);
+  }
+
+  #get(name: string, response: ServerResponse): void {
+    const stored = this.#objects.get(name);
+    if (stored === undefined) {
+      response.writeHead(404).end();
+      return;
+    }
+    response.writeHead(200, { etag: `"${stored.version}"` });
+    response.end(stored.text);
+  }
+
+  async #watch(
+    name: string,
+    url: URL,
+    response: ServerResponse,
+  ): Promise<void> {
+    const after = Number(url.searchParams.get("watch"));
+    const timeoutMs = Number(url.searchParams.get("timeoutMs") ?? 0);
+    const version = () => this.#objects.get(name)?.version ?? 0;
+    if (version() <= after && timeoutMs > 0) {
+      await this.#changed(name, timeoutMs, response);
+    }
+    if (version() === 0) response.writeHead(404).end();
+    else if (version() <= after) {
+      response.writeHead(304, { etag: `"${version()}"` }).end();
+    } else this.#get(name, response);
+  }
+
+  async #changed(
+    name: string,
+    timeoutMs: number,
+    response: ServerResponse,
+  ): Promise<void> {
+    const waiting = this.#waiting.get(name) ?? new Set();
+    this.#waiting.set(name, waiting);
+    await new Promise<void>((resolve) => {
+      const timer = setTimeout(resolve, timeoutMs);
+      const wake = () => {
+        clearTimeout(timer);
+        waiting.delete(wake);
+        resolve();
+      };
+      waiting.add(wake);
+      response.on("close", wake);
+    });
+  }
+
+  async #put(
+    name: string,
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    const text = (await readBody(request)).toString("utf8");
+    const stored = this.#objects.get(name);
+    const expected = request.headers["if-match"];
+    const create = request.headers["if-none-match"] === "*";
+    const matches = create
+      ? stored === undefined
+      : expected === `"${stored?.version}"`;
+    if (text.length > SIZE_LIMIT_BYTES) {
+      response.writeHead(413).end();
+      return;
+    }
+    if (!matches) {
+      response.writeHead(412).end();
+      return;
+    }
+    const version = (stored?.version ?? 0) + 1;
+    this.#objects.set(name, { version, text });
+    for (const wake of [...(this.#waiting.get(name) ?? [])]) wake();
+    if (this.#faults.loseAnswers > 0) {
+      this.#faults.loseAnswers -= 1;
+      response.destroy();
+      return;
+    }
+    response.writeHead(stored === undefined ? 201 : 200, {
+      etag: `"${version}"`,
+    });
+    response.end();
+  }
+}
--- /dev/null
+++ b/tools/fleet/deployments.ts
@@ -0,0 +1,130 @@
+/** The two deployments of the brief, at their sizes of today. */
+
+import {
+  type Contract,
+  type Document,
+  hashKey,
+  type Meter,
+  type Rule,
+} from "../../src/configuration/mod.ts";
+import type { Plan, ServicePlan, TeamKey } from "./plan.ts";
+
+const TEAMS = 16;
+/** The first teams are large. */
+const LARGE_TEAMS = 3;
+const LARGE_WEIGHT = 4;
+
+/** What differs between deployments. */
+interface Terms {
+  readonly teamPrefix: string;
+  readonly meter: Meter;
+  readonly availabilityZones: readonly string[];
+  readonly services: readonly ServicePlan[];
+  readonly rules: readonly Rule[];
+}
+
+/** Vrátnik Spolu: concierge desks, metered by tokens. */
+export function deskDeployment(): Plan {
+  return createPlan({
+    teamPrefix: "desk",
+    meter: { type: "tokens", promptWeight: 0.25, generatedWeight: 1 },
+    availabilityZones: ["petrzalka", "ruzinov", "karlova-ves"],
+    services: [
+      service("desk-model", "model", { replicas: 6, stepMs: 2.5 }),
+      service("desk-app", "plain", { replicas: 3, stepMs: 10 }),
+    ],
+    rules: [
+      {
+        name: "notices-once",
+        when: { kind: ["notice"] },
+        then: { type: "admit", idempotent: false },
+      },
+      {
+        name: "calls-first",
+        when: { kind: ["call"] },
+        then: { type: "admit", priority: 10 },
+      },
+    ],
+  });
+}
+
+/** The uniform swap shops, metered by completed requests. */
+export function shopDeployment(): Plan {
+  return createPlan({
+    teamPrefix: "shop",
+    meter: {
+      type: "completed",
+      defaultWeight: 1,
+      weightByKind: { exchange: 3, draft: 2 },
+    },
+    availabilityZones: ["riga-a", "riga-b", "riga-c", "riga-d"],
+    services: [
+      service("drafting-pool", "model", { replicas: 6, stepMs: 4.5 }),
+      service("counter-app", "plain", { replicas: 4, stepMs: 10 }),
+    ],
+    rules: [
+      {
+        name: "exchanges-once",
+        when: { kind: ["exchange"] },
+        then: { type: "admit", idempotent: false },
+      },
+    ],
+  });
+}
+
+function service(
+  name: string,
+  type: ServicePlan["type"],
+  { replicas, stepMs }: { readonly replicas: number; readonly stepMs: number },
+): ServicePlan {
+  return { name, type, replicas, stepMs, slots: 8 };
+}
+
+function createPlan(terms: Terms): Plan {
+  const { availabilityZones, services } = terms;
+  const teams = Array.from({ length: TEAMS }, (_, index) => {
+    const name = `${terms.teamPrefix}-${String(index + 1).padStart(2, "0")}`;
+    return { name, key: `key-of-${name}` };
+  });
+  const document = createDocument(terms, teams);
+  return { availabilityZones, routers: 3, services, teams, document };
+}
+
+function createDocument(terms: Terms, teams: readonly TeamKey[]): Document {
+  const contract = (name: string, weight: number): Contract => ({
+    name,
+    weight,
+    meter: terms.meter,
+    maxWaitingPerRouter: 200,
+    maxInProgressPerRouter: 400,
+  });
+  return {
+    services: terms.services.map(({ name, type }) => ({
+      name,
+      type,
+      idempotent: type === "model",
+      maxBodyBytes: 1024 * 1024,
+      deadlineMs: 30_000,
+    })),
+    contracts: [contract("small", 1), contract("large", LARGE_WEIGHT)],
+    teams: teams.map(({ name, key }, index) => ({
+      name,
+      keyHash: hashKey(key),
+      contract: index < LARGE_TEAMS ? "large" : "small",
+    })),
+    rules: terms.rules,
+    targets: terms.services.flatMap(({ name, type }) =>
+      type === "model"
+        ? [target(name, "first-token", 350), target(name, "between-tokens", 31)]
+        : [target(name, "completion", 1_000)],
+    ),
+  };
+}
+
+function target(
+  service: string,
+  measure: Document["targets"][number]["measure"],
+  limitMs: number,
+): Document["targets"][number] {
+  return { service, measure, limitMs, objective: 0.95 };
+}
