--- /dev/null
+++ b/src/cli/explain_command.ts
@@ -0,0 +1,126 @@
+/** `explain`: which rule takes a request, and why not those before it. */
+
+import { readFile } from "node:fs/promises";
+import type { Command } from "commander";
+import { format } from "../common/finding.ts";
+import {
+  type Document,
+  explain,
+  type RequestFacts,
+  read,
+  type Trial,
+  validate,
+} from "../configuration/mod.ts";
+import { ObjectStore } from "../platform/mod.ts";
+import { ExitCode } from "./exit_code.ts";
+import { fail, print } from "./fleet_options.ts";
+
+interface ExplainOptions {
+  readonly file?: string;
+  readonly platform?: string;
+  readonly team: string;
+  readonly service: string;
+  readonly kind: string;
+  readonly method: string;
+  readonly path: string;
+  readonly header: readonly string[];
+  readonly hint: string;
+  readonly zone: string;
+  readonly at?: string;
+  readonly json?: boolean;
+}
+
+/** Adds the command. */
+export function addExplainCommand(program: Command): void {
+  program
+    .command("explain")
+    .description("Tell which rule takes a request, and why not those before")
+    .option("--file <file>", "document; the one in force when absent")
+    .option("--platform <url>", "URL of the platform")
+    .requiredOption("--team <name>", "team that sends the request")
+    .requiredOption("--service <name>", "service that it names")
+    .option("--kind <kind>", "Oriole-Kind", "default")
+    .option("--method <method>", "HTTP method", "POST")
+    .option("--path <path>", "path at the service", "/v1/chat/completions")
+    .option("--header <name=value>", "a header, repeatable", collect, [])
+    .option("--hint <units>", "Oriole-Cost-Hint", "0")
+    .option("--zone <name>", "availability zone of the router", "")
+    .option("--at <HH:MM>", "time of day in UTC; now when absent")
+    .option("--json", "print JSON")
+    .addHelpText(
+      "after",
+      "\nExample:\n  oriolerouter explain --file c.json --team desk-01 " +
+        "--service desk-app --kind notice",
+    )
+    .action(run);
+}
+
+async function run(options: ExplainOptions): Promise<void> {
+  const document = await load(options);
+  const trials = explain(document.rules, toFacts(options));
+  const matched = trials.at(-1)?.failed.length === 0 ? trials.at(-1) : null;
+  const lines = trials.map(describe);
+  if (matched === null || matched === undefined) {
+    lines.push("No rule matches: the request is admitted");
+  }
+  const rule = matched?.rule ?? null;
+  print(options.json, { rule, trials }, lines.join("\n"));
+}
+
+function describe({ rule, failed }: Trial): string {
+  if (failed.length > 0) {
+    return `- ${rule.name}: does not match on ${failed.join(", ")}`;
+  }
+  return `+ ${rule.name}: matches; ${JSON.stringify(rule.then)}`;
+}
+
+async function load(options: ExplainOptions): Promise<Document> {
+  const text = await loadText(options);
+  return validate(text).match(
+    (document) => document,
+    (findings) => fail(ExitCode.USAGE, format(findings)),
+  );
+}
+
+async function loadText({ file, platform }: ExplainOptions): Promise<string> {
+  if (file !== undefined) {
+    return await readFile(file, "utf8").catch(() =>
+      fail(ExitCode.USAGE, `Can't read ${file}`),
+    );
+  }
+  const url = platform ?? process.env.ORIOLE_PLATFORM;
+  if (url === undefined) {
+    fail(ExitCode.USAGE, "Give --file or --platform");
+  }
+  const store = new ObjectStore(url);
+  const stored = await read(store);
+  await store.close();
+  return stored.match(
+    ({ record }) => record.text,
+    ({ type }) => fail(ExitCode.UNAVAILABLE, `Can't read the store: ${type}`),
+  );
+}
+
+function toFacts(options: ExplainOptions): RequestFacts {
+  const at = options.at ?? new Date().toISOString().slice(11, 16);
+  const [hours, minutes] = at.split(":").map(Number);
+  const headers = options.header.map((one): [string, string] => {
+    const cut = one.indexOf("=");
+    return [one.slice(0, cut).toLowerCase(), one.slice(cut + 1)];
+  });
+  return {
+    team: options.team,
+    service: options.service,
+    kind: options.kind,
+    method: options.method,
+    path: options.path,
+    headers: Object.fromEntries(headers),
+    costHint: Number(options.hint),
+    availabilityZone: options.zone,
+    minuteOfDay: (hours ?? 0) * 60 + (minutes ?? 0),
+  };
+}
+
+function collect(value: string, values: string[]): string[] {
+  return [...values, value];
+}
--- /dev/null
+++ b/src/cli/fleet_options.ts
@@ -0,0 +1,56 @@
+/** Options that say how the fleet is reached. */
+
+import { Command, Option } from "commander";
+import { ExitCode } from "./exit_code.ts";
+
+/** Where the platform is, and the operators' key. */
+export interface FleetOptions {
+  readonly platform: string;
+  readonly operatorKey: string;
+  readonly json?: boolean;
+}
+
+/** Returns a command that needs the platform. */
+export function platformCommand(name: string): Command {
+  return new Command(name)
+    .addOption(
+      new Option("--platform <url>", "URL of the platform")
+        .env("ORIOLE_PLATFORM")
+        .makeOptionMandatory(),
+    )
+    .option("--json", "print JSON");
+}
+
+/** Returns a command that asks the processes as well. */
+export function fleetCommand(name: string): Command {
+  return platformCommand(name).addOption(
+    new Option("--operator-key <key>", "key of the operators' endpoints")
+      .env("ORIOLE_OPERATOR_KEY")
+      .makeOptionMandatory(),
+  );
+}
+
+/** Prints a value as JSON or as text. */
+export function print(
+  json: boolean | undefined,
+  value: unknown,
+  text: string,
+): void {
+  const shown = json === true ? JSON.stringify(value, null, 2) : text;
+  process.stdout.write(`${shown}\n`);
+}
+
+/** Ends the command with a sentence that says what to do. */
+export function fail(code: ExitCode, sentence: string): never {
+  process.stderr.write(`${sentence}\n`);
+  process.exit(code);
+}
+
+/** Help text on the exit codes. */
+export const EXIT_CODES_HELP = `
+Exit codes:
+  ${ExitCode.OK}  done
+  ${ExitCode.FAILED}  a check found something, or a wait ended unmet
+  ${ExitCode.USAGE}  the command's words or its input are wrong
+  ${ExitCode.CONFLICT}  another operator's change came first
+  ${ExitCode.UNAVAILABLE}  the platform or a process did not answer`;
--- /dev/null
+++ b/src/cli/report_commands.ts
@@ -0,0 +1,62 @@
+/** `report burn`. */
+
+import { writeFile } from "node:fs/promises";
+import { Command } from "commander";
+import {
+  type BurnLine,
+  burnCountsSchema,
+  burnLines,
+  burnPage,
+  burnText,
+  gather,
+} from "../report/mod.ts";
+import { ExitCode } from "./exit_code.ts";
+import {
+  type FleetOptions,
+  fail,
+  fleetCommand,
+  print,
+} from "./fleet_options.ts";
+
+interface BurnOptions extends FleetOptions {
+  readonly html?: string;
+}
+
+/** Returns the command `report` with its subcommands. */
+export function reportCommand(): Command {
+  return new Command("report")
+    .description("Reports on the fleet")
+    .addCommand(burnCommand());
+}
+
+function burnCommand(): Command {
+  return fleetCommand("burn")
+    .description("Show how fast service-level budgets are used up")
+    .option("--html <file>", "write a page with plots")
+    .addHelpText(
+      "after",
+      "\nExample:\n  oriolerouter report burn --html burn.html",
+    )
+    .action(async (options: BurnOptions) => {
+      const lines = await readLines(options);
+      if (options.html !== undefined) {
+        await writeFile(options.html, burnPage(lines, new Date()));
+      }
+      print(options.json, lines, burnText(lines));
+    });
+}
+
+async function readLines(options: BurnOptions): Promise<BurnLine[]> {
+  const { platform: platformUrl, operatorKey } = options;
+  const gathered = await gather({ platformUrl, operatorKey }, "/burn", {
+    wanted: ({ role }) => role === "router",
+  });
+  if (gathered.isErr()) fail(ExitCode.UNAVAILABLE, gathered.error);
+  const counts = gathered.value.flatMap(({ instance, page }) => {
+    const checked = burnCountsSchema.check(page);
+    if (checked.isOk()) return checked.value.counts;
+    process.stderr.write(`Router ${instance.name} did not answer\n`);
+    return [];
+  });
+  return burnLines(counts);
+}
--- a/src/fairness/ledger.ts
+++ b/src/fairness/ledger.ts
@@ -55,13 +55,13 @@
   /** Returns a team's normalised service. */
   value(team: string): number {
     const entry = this.#entries.get(team);
-    return entry === undefined ? this.#floor : valueOf(entry);
+    return entry === undefined ? this.#floor : totalOf(entry);
   }
 
   /** Returns the normalised service of every team with state. */
   values(): Record<string, number> {
     const values: Record<string, number> = {};
-    for (const [team, entry] of this.#entries) values[team] = valueOf(entry);
+    for (const [team, entry] of this.#entries) values[team] = totalOf(entry);
     return values;
   }
 
@@ -125,11 +125,11 @@
     else entry.waitingAt.delete(update.origin);
     if (update.epoch < entry.epoch) return true;
     if (update.epoch > entry.epoch) {
-      const before = valueOf(entry);
+      const before = totalOf(entry);
       reset(entry, update.epoch, update.level);
       mergeCounter(entry, update);
       // What this process charged in the old epoch must not be lost.
-      entry.level += Math.max(0, before - valueOf(entry));
+      entry.level += Math.max(0, before - totalOf(entry));
     } else {
       entry.level = Math.max(entry.level, update.level);
       mergeCounter(entry, update);
@@ -168,7 +168,7 @@
     for (const [team, entry] of this.#entries) {
       if (entry.counters.size > ORIGIN_LIMIT) this.#fold(entry);
       const idle = entry.waitingAt.size === 0 && entry.open === 0;
-      if (idle && valueOf(entry) <= this.#floor) this.#entries.delete(team);
+      if (idle && totalOf(entry) <= this.#floor) this.#entries.delete(team);
     }
   }
 
@@ -196,18 +196,18 @@
   }
 
   #raise(entry: Entry): void {
-    entry.level += Math.max(0, this.#floor - valueOf(entry));
+    entry.level += Math.max(0, this.#floor - totalOf(entry));
   }
 
   #fold(entry: Entry): void {
     this.#epoch += 1;
-    reset(entry, this.#epoch, valueOf(entry));
+    reset(entry, this.#epoch, totalOf(entry));
   }
 
   #forgive(entry: Entry): void {
     const limit = this.#floor + DEBT_LIMIT_CHARGES * this.#largestCharge;
     if (this.#largestCharge === 0) return;
-    entry.forgiven += Math.max(0, valueOf(entry) - limit);
+    entry.forgiven += Math.max(0, totalOf(entry) - limit);
   }
 }
 
@@ -229,7 +229,7 @@
   entry.counters.clear();
 }
 
-function valueOf({ level, forgiven, counters }: Entry): number {
+function totalOf({ level, forgiven, counters }: Entry): number {
   let value = level - forgiven;
   for (const { charged, refunded } of counters.values()) {
     value += charged - refunded;
--- /dev/null
+++ b/src/report/mod.ts
@@ -0,0 +1,14 @@
+/** Reports for operators. */
+
+export {
+  type BurnCounts,
+  type BurnLine,
+  burnCountsSchema,
+  burnLines,
+  type Cause,
+} from "./burn.ts";
+export { BurnRecorder, type Experience } from "./burn_recorder.ts";
+export { type FleetAccess, type Gathered, gather } from "./gather.ts";
+export { burnPage } from "./page.ts";
+export { table } from "./table.ts";
+export { burnText } from "./text.ts";
--- a/src/router/caller_answer.ts
+++ b/src/router/caller_answer.ts
@@ -2,6 +2,7 @@
 
 import { once } from "node:events";
 import type { ServerResponse } from "node:http";
+import { countEvents } from "../common/event_marks.ts";
 import type { Head } from "../protocol/mod.ts";
 import { bodyOf, type Failure, headersOf } from "./failure.ts";
 
@@ -10,6 +11,8 @@
   readonly #response: ServerResponse;
   readonly #gone = new AbortController();
   #firstByteAtMs: number | null = null;
+  #lastByteAtMs = 0;
+  #events = 0;
 
   constructor(response: ServerResponse, requestId: string) {
     this.#response = response;
@@ -34,6 +37,12 @@
     return this.#firstByteAtMs;
   }
 
+  /** Mean time between events of a stream; null for other answers. */
+  get betweenEventsMs(): number | null {
+    if (this.#firstByteAtMs === null || this.#events < 2) return null;
+    return (this.#lastByteAtMs - this.#firstByteAtMs) / (this.#events - 1);
+  }
+
   /** Writes status and headers. */
   begin({ status, headers }: Head): void {
     this.#response.statusCode = status;
@@ -46,8 +55,10 @@
   }
 
   /** Writes bytes; resolves once the caller can take more. */
-  async write(bytes: Uint8Array, nowMs: number): Promise<void> {
+  async write(bytes: Buffer, nowMs: number): Promise<void> {
     this.#firstByteAtMs ??= nowMs;
+    this.#lastByteAtMs = nowMs;
+    this.#events += countEvents(bytes);
     if (this.#response.write(bytes)) return;
     await once(this.#response, "drain", { signal: this.gone }).catch(
       () => undefined,
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -14,6 +14,7 @@
 } from "../configuration/mod.ts";
 import * as metrics from "../metrics/mod.ts";
 import { InstanceList, ObjectStore } from "../platform/mod.ts";
+import { BurnRecorder } from "../report/mod.ts";
 import { type Identity, Traffic } from "../transport/mod.ts";
 import { createEntry } from "./entry.ts";
 import { Fleet } from "./fleet.ts";
@@ -40,6 +41,7 @@
   readonly #store: ObjectStore;
   readonly #instances: InstanceList;
   readonly #fleet: Fleet;
+  readonly #burn = new BurnRecorder(this.#clock, this.#active);
   readonly #serving: Serving;
   readonly #watcher: ConfigurationWatcher;
   readonly #broker: ServiceBroker;
@@ -80,6 +82,7 @@
       clock: this.#clock,
       fleet: this.#fleet,
       metrics: this.#metrics,
+      burn: this.#burn,
     });
     this.#watcher = new ConfigurationWatcher(this.#store, this.#active, {
       instance,
@@ -136,6 +139,7 @@
         metrics: this.#metrics,
         ready: () => this.#isReady(),
         status: () => this.#status(),
+        pages: { "/burn": () => ({ counts: this.#burn.counts() }) },
       },
     );
     const reader = new Reader({
--- a/src/router/serving.ts
+++ b/src/router/serving.ts
@@ -4,6 +4,7 @@
 import { sleep } from "../common/signal.ts";
 import type { Registry } from "../metrics/mod.ts";
 import type { Failed, Grant, Refused, Run } from "../protocol/mod.ts";
+import type { BurnRecorder } from "../report/mod.ts";
 import type { Lost } from "./answer_event.ts";
 import type { Attempt } from "./attempt.ts";
 import type { CallerAnswer } from "./caller_answer.ts";
@@ -15,6 +16,7 @@
   outcomeUnknown,
 } from "./failure.ts";
 import type { Fleet } from "./fleet.ts";
+import * as journey from "./journey.ts";
 import { RetryBudget } from "./retry_budget.ts";
 import type { SidePeer } from "./side_peer.ts";
 import { type Binding, WaitingLine } from "./waiting_line.ts";
@@ -31,6 +33,7 @@
   readonly clock: Clock;
   readonly fleet: Fleet;
   readonly metrics: Registry;
+  readonly burn: BurnRecorder;
 }
 
 /** How an attempt ended. */
@@ -77,20 +80,21 @@
 
   /** Serves a request to its end; the answer is complete afterwards. */
   async serve(request: CallerRequest, answer: CallerAnswer): Promise<void> {
+    const path = journey.begin();
     const refused = this.#bounds(request);
     if (refused !== null) {
-      this.#fail(request, answer, refused);
+      this.#fail(request, answer, { failure: refused, path });
       return;
     }
     const key = `${request.team}\n${request.service.name}`;
     this.#open.set(key, (this.#open.get(key) ?? 0) + 1);
     this.#retries.earn();
-    const failure = await this.#attempts(request, answer);
+    const failure = await this.#attempts(request, answer, path);
     const open = (this.#open.get(key) ?? 1) - 1;
     if (open === 0) this.#open.delete(key);
     else this.#open.set(key, open);
-    if (failure === null) this.#measure(request, answer);
-    else this.#fail(request, answer, failure);
+    if (failure === null) this.#measure(request, answer, path);
+    else this.#fail(request, answer, { failure, path });
   }
 
   /** Binds a waiting request to a grant, or gives the grant back. */
@@ -143,11 +147,13 @@
   async #attempts(
     request: CallerRequest,
     answer: CallerAnswer,
+    path: journey.Journey,
   ): Promise<Failure | null> {
     let direct = true;
-    let retries = 0;
     for (let number = 1; ; number += 1) {
+      const fromMs = this.#parts.clock.monotonicMs();
       const binding = await this.#bind(request, answer.gone, { direct });
+      path.waitedMs += this.#parts.clock.monotonicMs() - fromMs;
       if (binding.type !== "bound") return notBound(request, binding);
       const run = this.#run(request, number, binding.grant);
       const outcome = await this.#once(binding.peer, run, { request, answer });
@@ -160,8 +166,8 @@
         case "requeue":
           break;
         case "retry":
-          retries += 1;
-          await backOff(retries);
+          path.retries += 1;
+          await backOff(path.retries);
           break;
         default:
           return decision satisfies never;
@@ -245,7 +251,10 @@
           answer.begin(event);
           break;
         case "data": {
-          await answer.write(event.bytes, this.#parts.clock.monotonicMs());
+          await answer.write(
+            event.bytes as Buffer,
+            this.#parts.clock.monotonicMs(),
+          );
           const delivered = event.offset + event.bytes.length;
           if (delivered - acknowledged >= ACKNOWLEDGE_BYTES) {
             acknowledge(delivered);
@@ -355,26 +364,45 @@
   }
 
   #fail(
-    { team, service }: CallerRequest,
+    request: CallerRequest,
     answer: CallerAnswer,
-    failure: Failure,
+    { failure, path }: { failure: Failure; path: journey.Journey },
   ): void {
+    const { team } = request;
     const { outcome, code } = failure;
-    const labels = { team, service: service.name, outcome, code };
+    const service = request.service.name;
+    const labels = { team, service, outcome, code };
     this.#parts.metrics.count("oriole_failures_total", labels);
     answer.fail(failure);
+    this.#parts.burn.record({
+      ...{ service, team },
+      firstTokenMs: null,
+      betweenTokensMs: null,
+      completionMs: null,
+      cause: outcome === "not-run" ? "refused" : journey.cause(path, 0),
+    });
   }
 
-  #measure(request: CallerRequest, answer: CallerAnswer): void {
-    const { clock, metrics } = this.#parts;
+  #measure(
+    request: CallerRequest,
+    answer: CallerAnswer,
+    path: journey.Journey,
+  ): void {
+    const { clock, metrics, burn } = this.#parts;
+    const { team, arrivedMs } = request;
     const service = request.service.name;
-    const labels = { team: request.team, service };
-    metrics.count("oriole_requests_total", labels);
+    metrics.count("oriole_requests_total", { team, service });
     const nowMs = clock.monotonicMs();
-    const firstMs = answer.firstByteAtMs ?? nowMs;
-    const since = request.arrivedMs;
-    metrics.observe("oriole_first_byte_seconds", firstMs - since, { service });
-    metrics.observe("oriole_completion_seconds", nowMs - since, { service });
+    const completionMs = nowMs - arrivedMs;
+    const firstTokenMs = (answer.firstByteAtMs ?? nowMs) - arrivedMs;
+    metrics.observe("oriole_first_byte_seconds", firstTokenMs, { service });
+    metrics.observe("oriole_completion_seconds", completionMs, { service });
+    metrics.observe("oriole_waiting_seconds", path.waitedMs, { service });
+    burn.record({
+      ...{ service, team, firstTokenMs, completionMs },
+      betweenTokensMs: answer.betweenEventsMs,
+      cause: journey.cause(path, completionMs),
+    });
   }
 }
 
--- a/src/side_process/usage_scanner.ts
+++ b/src/side_process/usage_scanner.ts
@@ -1,10 +1,10 @@
 /** Reads tokens used out of an engine's answer as it passes. */
 
+import { countEvents } from "../common/event_marks.ts";
 import type { Usage } from "../fairness/mod.ts";
 
 /** End of the answer that is searched for the engine's own count. */
 const TAIL_BYTES = 2_048;
-const EVENT_MARK = Buffer.from("data:");
 const PROMPT = /"prompt_tokens"\s*:\s*(\d+)/g;
 const GENERATED = /"completion_tokens"\s*:\s*(\d+)/g;
 
@@ -15,11 +15,7 @@
 
   /** Takes the next bytes of the answer. */
   push(bytes: Buffer): void {
-    let at = bytes.indexOf(EVENT_MARK);
-    while (at !== -1) {
-      this.#events += 1;
-      at = bytes.indexOf(EVENT_MARK, at + EVENT_MARK.length);
-    }
+    this.#events += countEvents(bytes);
     const tail = Buffer.concat([this.#tail, bytes]);
     this.#tail = tail.subarray(Math.max(0, tail.length - TAIL_BYTES));
   }
--- a/tools/load/caller.ts
+++ b/tools/load/caller.ts
@@ -1,6 +1,7 @@
 /** Callers: send requests and check that each answer is their own and whole. */
 
 import { Agent, request } from "undici";
+import { countEvents } from "../../src/common/event_marks.ts";
 import { expectedText } from "../../stand_ins/engine/job.ts";
 
 /** A chat request. */
@@ -13,8 +14,13 @@
   readonly stream: boolean;
   readonly headers?: Readonly<Record<string, string>>;
   readonly signal?: AbortSignal;
+  /** Called with each piece of the answer. */
+  readonly onPiece?: OnPiece;
 }
 
+/** Called with the size of a piece of an answer and when it came. */
+export type OnPiece = (events: number, nowMs: number) => void;
+
 /** What became of a call. */
 export interface CallResult {
   /** `wrong`: an answer that is not the caller's own whole one. */
@@ -50,6 +56,7 @@
     body: JSON.stringify({ model, messages, stream, max_tokens: maxTokens }),
     headers: call.headers ?? {},
     signal: call.signal,
+    onPiece: call.onPiece,
   });
   if (result.type !== "answered") return result;
   const text = stream ? textOfStream(result.body) : textOfAnswer(result.body);
@@ -65,6 +72,7 @@
   readonly body?: string;
   readonly headers?: Readonly<Record<string, string>>;
   readonly signal?: AbortSignal | undefined;
+  readonly onPiece?: OnPiece | undefined;
 }
 
 /** Sends a request; tells answers from refusals and broken connections. */
@@ -85,8 +93,10 @@
       ...(call.signal === undefined ? {} : { signal: call.signal }),
     });
     for await (const piece of response.body) {
-      firstTokenMs ??= performance.now();
+      const nowMs = performance.now();
+      firstTokenMs ??= nowMs;
       body += piece;
+      call.onPiece?.(countEvents(piece), nowMs);
     }
     const header = (name: string) => String(response.headers[name] ?? "");
     const outcome = header("oriole-outcome");
--- /dev/null
+++ b/tools/load/workload.ts
@@ -0,0 +1,160 @@
+/** Open-loop load: arrivals that don't wait for answers. */
+
+import { sleep } from "../../src/common/signal.ts";
+import { type CallResult, chat, send } from "./caller.ts";
+import { Random } from "./random.ts";
+
+/** What one team sends. */
+export interface TeamLoad {
+  readonly team: string;
+  readonly key: string;
+  /** Weight of the team's contract, for normalised service. */
+  readonly weight: number;
+  readonly service: string;
+  readonly type: "model" | "plain";
+  readonly ratePerSecond: number;
+  readonly kind: string;
+  readonly promptCharacters: readonly [low: number, high: number];
+  readonly tokens: readonly [low: number, high: number];
+  /** Factor by which hints are off, either way; 0 sends no hint. */
+  readonly hintError: number;
+  /** Sends during this long, then pauses as long; 0 sends always. */
+  readonly onOffMs?: number;
+}
+
+/** A point in time at which a team got service. */
+export interface Service {
+  readonly atMs: number;
+  /** Cost divided by the team's weight. */
+  readonly amount: number;
+}
+
+/** One call with what it cost. */
+export interface LoadRecord {
+  readonly load: TeamLoad;
+  readonly result: CallResult;
+  readonly cost: number;
+  readonly service: readonly Service[];
+}
+
+/** How requests are charged; as in the configuration. */
+export interface Pricing {
+  readonly type: "tokens" | "completed";
+  readonly promptWeight: number;
+  readonly weightByKind: Readonly<Record<string, number>>;
+}
+
+/** What a run of load needs. */
+export interface LoadOptions {
+  readonly routerUrls: readonly string[];
+  /** Share of requests that each router gets. */
+  readonly routerWeights: readonly number[];
+  readonly durationMs: number;
+  readonly seed: number;
+  readonly pricing: Pricing;
+  /** Asks for streams; else for whole answers. */
+  readonly stream: boolean;
+}
+
+const CHARACTERS_PER_TOKEN = 4;
+
+/** Sends every team's load; resolves once every call has ended. */
+export async function run(
+  loads: readonly TeamLoad[],
+  options: LoadOptions,
+): Promise<LoadRecord[]> {
+  const calls: Promise<LoadRecord>[] = [];
+  const startMs = performance.now();
+  const arrivals = loads.map((load, index) =>
+    arrive(load, new Random(options.seed * 1_000 + index), {
+      startMs,
+      options,
+      emit: (call) => calls.push(call),
+    }),
+  );
+  await Promise.all(arrivals);
+  return await Promise.all(calls);
+}
+
+interface Arrivals {
+  readonly startMs: number;
+  readonly options: LoadOptions;
+  readonly emit: (call: Promise<LoadRecord>) => void;
+}
+
+async function arrive(
+  load: TeamLoad,
+  random: Random,
+  { startMs, options, emit }: Arrivals,
+): Promise<void> {
+  let atMs = random.interval(load.ratePerSecond);
+  for (let number = 0; atMs < options.durationMs; number += 1) {
+    await sleep(Math.max(0, startMs + atMs - performance.now()));
+    emit(once(load, random, { options, number }));
+    atMs += random.interval(load.ratePerSecond);
+    atMs = skipPause(load.onOffMs ?? 0, atMs);
+  }
+}
+
+function skipPause(onOffMs: number, atMs: number): number {
+  if (onOffMs === 0 || Math.floor(atMs / onOffMs) % 2 === 0) return atMs;
+  return Math.ceil(atMs / onOffMs) * onOffMs;
+}
+
+async function once(
+  load: TeamLoad,
+  random: Random,
+  {
+    options,
+    number,
+  }: { readonly options: LoadOptions; readonly number: number },
+): Promise<LoadRecord> {
+  const url = random.pick(options.routerUrls, options.routerWeights);
+  const tokens = random.between(...load.tokens);
+  const length = random.between(...load.promptCharacters);
+  const prompt = `${load.team} ${number} `.padEnd(length, "lorem ipsum ");
+  const cost = costOf(load, { tokens, prompt }, options.pricing);
+  const headers = {
+    "oriole-kind": load.kind,
+    ...hint(load, cost, random),
+  };
+  const service: Service[] = [];
+  const add = (amount: number, atMs: number) =>
+    service.push({ atMs, amount: amount / load.weight });
+  const metered = options.pricing.type === "tokens" && options.stream;
+  const result =
+    load.type === "model"
+      ? await chat({
+          ...{ url, key: load.key, model: load.service, prompt, headers },
+          maxTokens: tokens,
+          stream: options.stream,
+          onPiece: (events, nowMs) => {
+            if (metered) add(events, nowMs);
+          },
+        })
+      : await send(`${url}/services/${load.service}/orders/${number}`, {
+          ...{ method: "POST", key: load.key, body: prompt, headers },
+        });
+  if (!metered && result.type === "answered") add(cost, result.endedMs);
+  return { load, result, cost, service };
+}
+
+function costOf(
+  load: TeamLoad,
+  { tokens, prompt }: { readonly tokens: number; readonly prompt: string },
+  pricing: Pricing,
+): number {
+  if (pricing.type === "completed") return pricing.weightByKind[load.kind] ?? 1;
+  const promptTokens = prompt.length / CHARACTERS_PER_TOKEN;
+  return tokens + pricing.promptWeight * promptTokens;
+}
+
+function hint(
+  { hintError }: TeamLoad,
+  cost: number,
+  random: Random,
+): Record<string, string> {
+  if (hintError === 0) return {};
+  const factor = hintError ** (random.next() * 2 - 1);
+  return { "oriole-cost-hint": (cost * factor).toFixed(1) };
+}
