Add scenarios of failures and mend what they found

Cause and change, each seen failing first in the scenario named: - graceful_shutdown 'A side process stops in mid-stream': the service container exits by itself on SIGTERM; its own signal handling is off now. - the same: a connection that turned from busy to idle beat later than it had announced and was taken for silent; it keeps to the announced time. - own_whole_answer 'A side process is killed': the error event was dropped by destroying the socket at once; it is written first. Still open: an engine's crash, and one run of side processes killed under load.

--- a/src/admin/server.ts
+++ b/src/admin/server.ts
@@ -31,7 +31,12 @@
   settings: AdminSettings,
   sources: AdminSources,
 ): ServiceBroker {
-  const broker = new ServiceBroker({ logger: false, nodeID: "local" });
+  const broker = new ServiceBroker({
+    logger: false,
+    nodeID: "local",
+    // The daemon handles signals; the broker would exit in mid-stream.
+    skipProcessEventRegistration: true,
+  });
   broker.createService({
     name: "admin",
     mixins: [ApiGateway],
--- a/src/router/caller_answer.ts
+++ b/src/router/caller_answer.ts
@@ -77,12 +77,14 @@
       this.#response.end(bodyOf(failure));
       return;
     }
+    // A cut connection is the only way to say that a body is not whole.
+    const cut = () => this.#response.destroy();
     const type = String(this.#response.getHeader("content-type") ?? "");
-    if (type.startsWith("text/event-stream")) {
-      const event = `event: error\ndata: ${bodyOf(failure)}\n\n`;
-      this.#response.write(event);
+    if (!type.startsWith("text/event-stream")) {
+      cut();
+      return;
     }
-    // A cut connection is the only way to say that a body is not whole.
-    this.#response.destroy();
+    const event = `event: error\ndata: ${bodyOf(failure)}\n\n`;
+    this.#response.write(event, cut);
   }
 }
--- a/src/router/journey.ts
+++ b/src/router/journey.ts
@@ -6,11 +6,13 @@
 export interface Journey {
   waitedMs: number;
   retries: number;
+  /** Whether an attempt was lost that may have run. */
+  mayHaveRun: boolean;
 }
 
 /** Returns a journey that has just begun. */
 export function begin(): Journey {
-  return { waitedMs: 0, retries: 0 };
+  return { waitedMs: 0, retries: 0, mayHaveRun: false };
 }
 
 /** Returns the cause that a missed target is put down to. */
--- a/src/router/serving.ts
+++ b/src/router/serving.ts
@@ -154,7 +154,10 @@
       const fromMs = this.#parts.clock.monotonicMs();
       const binding = await this.#bind(request, answer.gone, { direct });
       path.waitedMs += this.#parts.clock.monotonicMs() - fromMs;
-      if (binding.type !== "bound") return notBound(request, binding);
+      if (binding.type !== "bound") {
+        const failure = notBound(request, binding);
+        return failure === null ? null : truthful(failure, path);
+      }
       const run = this.#run(request, number, binding.grant);
       const outcome = await this.#once(binding.peer, run, { request, answer });
       const decision = this.#decide(request, answer, outcome);
@@ -162,10 +165,11 @@
         case "done":
           return null;
         case "fail":
-          return decision.failure;
+          return truthful(decision.failure, path);
         case "requeue":
           break;
         case "retry":
+          path.mayHaveRun ||= outcome.type === "lost" || isUnknown(outcome);
           path.retries += 1;
           await backOff(path.retries);
           break;
@@ -435,6 +439,16 @@
   }
 }
 
+function isUnknown(outcome: Outcome): boolean {
+  return outcome.type === "failed" && outcome.outcome !== "not-run";
+}
+
+/** "Not run" must not be said after an attempt that may have run. */
+function truthful(failure: Failure, path: journey.Journey): Failure {
+  if (!path.mayHaveRun || failure.outcome !== "not-run") return failure;
+  return { ...failure, outcome: "unknown" };
+}
+
 async function backOff(retries: number): Promise<void> {
   const longestMs = RETRY_BACKOFF_MS * 2 ** (retries - 1);
   const ms = Math.min(LONGEST_BACKOFF_MS, longestMs);
--- a/src/transport/connection.ts
+++ b/src/transport/connection.ts
@@ -180,7 +180,9 @@
       return;
     }
     const everyMs = this.#busy ? BUSY_HEARTBEAT_MS : IDLE_HEARTBEAT_MS;
-    const due = nowMs - this.#lastHeartbeatMs + CHECK_MS > everyMs;
+    // The peer counts on the interval it was told, also when that has grown.
+    const dueMs = Math.min(everyMs, this.#announcedMs);
+    const due = nowMs - this.#lastHeartbeatMs + CHECK_MS > dueMs;
     if (due || everyMs < this.#announcedMs) this.announce();
   }
 }
--- a/stand_ins/engine/engine.ts
+++ b/stand_ins/engine/engine.ts
@@ -21,6 +21,8 @@
   readonly stepMs: number;
   readonly slots: number;
   readonly loadLagMs: number;
+  /** File that keeps the run log over crashes; empty for none. */
+  readonly logFile: string;
   /** Called by a request that crashes the engine. */
   readonly crash: () => void;
 }
@@ -29,7 +31,7 @@
 export class Engine {
   readonly #options: EngineOptions;
   readonly #incarnation = randomUUID();
-  readonly #log = new RunLog();
+  readonly #log: RunLog;
   readonly #cache = new PrefixCache(CACHE_BLOCKS);
   readonly #jobs = new Map<string, Job>();
   readonly #cancelledEarly = new Set<string>();
@@ -41,6 +43,7 @@
 
   constructor(options: EngineOptions) {
     this.#options = options;
+    this.#log = new RunLog(options.logFile);
     setInterval(() => this.#report(), options.loadLagMs).unref();
   }
 
--- a/stand_ins/engine/main.ts
+++ b/stand_ins/engine/main.ts
@@ -1,4 +1,4 @@
-/** Starts the stand-in engine: `main.js --port N --step-ms N --slots N`. */
+/** Starts the stand-in engine: `main.js --port N --step-ms N --slots N --log FILE`. */
 
 import { parseArgs } from "node:util";
 import { serve } from "../http.ts";
@@ -10,12 +10,14 @@
     "step-ms": { type: "string", default: "2.5" },
     slots: { type: "string", default: "8" },
     "load-lag-ms": { type: "string", default: "500" },
+    log: { type: "string", default: "" },
   },
 });
 const engine = new Engine({
   stepMs: Number(values["step-ms"]),
   slots: Number(values.slots),
   loadLagMs: Number(values["load-lag-ms"]),
+  logFile: values.log,
   crash: () => process.exit(70),
 });
 await serve(
--- a/stand_ins/plain_service/main.ts
+++ b/stand_ins/plain_service/main.ts
@@ -1,6 +1,6 @@
 /**
  * A plain service: echoes what it got, after a while, and logs each run.
- * `main.js --port N --work-ms N`
+ * `main.js --port N --work-ms N --log FILE`
  */
 
 import { createHash, randomUUID } from "node:crypto";
@@ -14,11 +14,12 @@
   options: {
     port: { type: "string", default: "0" },
     "work-ms": { type: "string", default: "10" },
+    log: { type: "string", default: "" },
   },
 });
 const workMs = Number(values["work-ms"]);
 const incarnation = randomUUID();
-const log = new RunLog();
+const log = new RunLog(values.log);
 
 async function handle(
   request: IncomingMessage,
--- a/stand_ins/run_log.ts
+++ b/stand_ins/run_log.ts
@@ -1,6 +1,7 @@
 /** What ran at a stand-in; the product can't see it. */
 
 import { createHash } from "node:crypto";
+import { appendFileSync, existsSync, readFileSync } from "node:fs";
 import type { IncomingMessage } from "node:http";
 
 /** One run. */
@@ -13,9 +14,19 @@
   finishedAt: number | null;
 }
 
-/** Every run since the start of the stand-in. */
+/** Every run, also those before a crash when a file keeps them. */
 export class RunLog {
-  readonly executions: Execution[] = [];
+  readonly executions: Execution[];
+  readonly #file: string;
+
+  /** Reads what ran before from the file; an empty name keeps no file. */
+  constructor(file: string) {
+    this.#file = file;
+    const text =
+      file !== "" && existsSync(file) ? readFileSync(file, "utf8") : "";
+    const lines = text.split("\n").filter((line) => line !== "");
+    this.executions = lines.map((line) => JSON.parse(line) as Execution);
+  }
 
   /** Notes that a request starts. */
   start(request: IncomingMessage, body: Buffer): Execution {
@@ -27,6 +38,9 @@
       finishedAt: null,
     };
     this.executions.push(execution);
+    if (this.#file !== "") {
+      appendFileSync(this.#file, `${JSON.stringify(execution)}\n`);
+    }
     return execution;
   }
 
--- /dev/null
+++ b/tests/scenarios/given_up.feature
@@ -0,0 +1,19 @@
+Feature: A request that is given up on gets its final answer at once
+
+  Scenario: No backend server is left
+    Given seed 71
+    And a desk fleet of 2 routers, 1 replica and 2 slots
+    When side process 0 is killed
+    And 3000 ms pass
+    And 10 callers send streams of 10 tokens
+    Then every failure came within 1000 ms and says when to come back
+    And no request refused as not-run ever runs
+
+  Scenario: Requests that wait when the last server goes
+    Given seed 72
+    And a desk fleet of 1 router, 1 replica and 1 slot
+    When 6 callers send streams of 3000 tokens
+    And 1 request run
+    And side process 0 is killed
+    Then every failure came within 8000 ms and says when to come back
+    And no request refused as not-run ever runs
--- /dev/null
+++ b/tests/scenarios/silent_connections.feature
@@ -0,0 +1,66 @@
+Feature: Connections that go silent for good are found and replaced
+
+  Scenario: Router to side process, both ways
+    Given seed 21
+    And links in front of each side-process
+    And a desk fleet of 2 routers, 2 replicas and 8 slots
+    When 12 callers send streams of 600 tokens
+    And 12 requests run
+    And the connections to side process 0 go silent
+    Then every caller has its own whole answer
+
+  Scenario: Router to side process, on the way there only
+    Given seed 22
+    And links in front of each side-process
+    And a desk fleet of 2 routers, 2 replicas and 8 slots
+    When callers keep sending streams of 40 tokens, 8 at a time
+    And 20 more requests run
+    And the connections to side process 0 go silent on the way there
+    And 3000 ms pass
+    And 20 more requests run
+    And the callers stop
+    Then every caller has its own whole answer
+
+  Scenario: Router to side process, on the way back only
+    Given seed 23
+    And links in front of each side-process
+    And a desk fleet of 2 routers, 2 replicas and 8 slots
+    When callers keep sending streams of 40 tokens, 8 at a time
+    And 20 more requests run
+    And the connections to side process 0 go silent on the way back
+    And 3000 ms pass
+    And 20 more requests run
+    And the callers stop
+    Then every caller has its own whole answer
+
+  Scenario: Side process to engine
+    Given seed 24
+    And links in front of each backend
+    And a desk fleet of 1 router, 1 replica and 8 slots
+    When 8 callers send streams of 600 tokens
+    And 8 requests run
+    And the connections to backend server 0 go silent
+    Then every caller has its own whole answer
+
+  Scenario: Non-idempotent requests over silent connections run once
+    Given seed 25
+    And links in front of each side-process
+    And a desk fleet of 2 routers, 2 replicas and 8 slots
+    When callers keep sending non-idempotent requests of 50 ms, 8 at a time
+    And 20 more requests run
+    And the connections to side process 2 go silent
+    And 2000 ms pass
+    And the connections to side process 3 go silent on the way back
+    And 2000 ms pass
+    And 20 more requests run
+    And the callers stop
+    Then every caller has its own whole answer
+    And no non-idempotent request runs twice
+
+  Scenario: To the platform
+    Given seed 26
+    And links in front of each platform
+    And a desk fleet of 2 routers, 1 replica and 4 slots
+    When the connections to the platform go silent
+    And an operator applies a change
+    Then every process has that version within 30 s
--- /dev/null
+++ b/tests/scenarios/steps/fleet_steps.ts
@@ -0,0 +1,79 @@
+/** Steps that set a fleet up and disturb its processes. */
+
+import { sleep } from "../../../src/common/signal.ts";
+import type { Child } from "../../../tools/fleet/child.ts";
+import type { LinkPlace } from "../../../tools/fleet/plan.ts";
+import type { StepRegistry } from "../../support/step_registry.ts";
+import type { World } from "../../support/world.ts";
+
+/** Adds the steps. */
+export function addFleetSteps(steps: StepRegistry<World>): void {
+  steps.define("seed {int}", (world, seed: number) => {
+    world.seed = seed;
+  });
+  steps.define("links in front of each {word}", (world, place: LinkPlace) => {
+    world.links.add(place);
+  });
+  steps.define(
+    "a {word} fleet of {int} router(s), {int} replica(s) and {int} slot(s)",
+    async (
+      world,
+      deployment: "desk" | "shop",
+      routers: number,
+      replicas: number,
+      slots: number,
+    ) => {
+      await world.start({ routers, replicas, slots, deployment });
+    },
+  );
+  steps.define("{int} ms pass", async (_world, ms: number) => {
+    await sleep(ms);
+  });
+  addProcessSteps(steps, "router", (world, index) => {
+    return required(world.fleet.routers[index]);
+  });
+  addProcessSteps(steps, "side process", (world, index) => {
+    return required(world.fleet.sideProcesses[index]);
+  });
+  addProcessSteps(steps, "backend server", (world, index) => {
+    return required(world.fleet.backends[index]);
+  });
+  steps.define("every router reaches every side process", async (world) => {
+    await world.fleet.ready();
+  });
+}
+
+interface Restartable {
+  readonly child: Child;
+  restart(): void | Promise<void>;
+}
+
+function addProcessSteps(
+  steps: StepRegistry<World>,
+  name: string,
+  find: (world: World, index: number) => Restartable,
+): void {
+  steps.define(`${name} {int} is killed`, async (world, index: number) => {
+    await find(world, index).child.kill();
+  });
+  steps.define(`${name} {int} pauses`, (world, index: number) => {
+    find(world, index).child.signal("SIGSTOP");
+  });
+  steps.define(`${name} {int} resumes`, (world, index: number) => {
+    find(world, index).child.signal("SIGCONT");
+  });
+  steps.define(`${name} {int} is told to stop`, (world, index: number) => {
+    find(world, index).child.signal("SIGTERM");
+  });
+  steps.define(`${name} {int} ends`, async (world, index: number) => {
+    await find(world, index).child.ended();
+  });
+  steps.define(`${name} {int} restarts`, async (world, index: number) => {
+    await find(world, index).restart();
+  });
+}
+
+function required<T>(value: T | undefined): T {
+  if (value === undefined) throw new Error("The fleet has no such process");
+  return value;
+}
--- /dev/null
+++ b/tests/scenarios/steps/mod.ts
@@ -0,0 +1,22 @@
+/** Every step that scenarios can use. */
+
+import { StepRegistry } from "../../support/step_registry.ts";
+import type { World } from "../../support/world.ts";
+import { addCallerSteps } from "./caller_steps.ts";
+import { addConfigurationSteps } from "./configuration_steps.ts";
+import { addFleetSteps } from "./fleet_steps.ts";
+import { addLinkSteps } from "./link_steps.ts";
+import { addOutcomeSteps } from "./outcome_steps.ts";
+import { addTimingSteps } from "./timing_steps.ts";
+
+/** Returns a registry with all steps. */
+export function createSteps(): StepRegistry<World> {
+  const steps = new StepRegistry<World>();
+  addFleetSteps(steps);
+  addLinkSteps(steps);
+  addCallerSteps(steps);
+  addConfigurationSteps(steps);
+  addOutcomeSteps(steps);
+  addTimingSteps(steps);
+  return steps;
+}
--- /dev/null
+++ b/tests/scenarios/steps/timing_steps.ts
@@ -0,0 +1,55 @@
+/** Steps on bounds that the brief states: leaving, giving up. */
+
+import assert from "node:assert/strict";
+import { existsSync, readFileSync } from "node:fs";
+import type { Execution } from "../../../stand_ins/run_log.ts";
+import type { StepRegistry } from "../../support/step_registry.ts";
+import type { World } from "../../support/world.ts";
+
+/** Adds the steps. */
+export function addTimingSteps(steps: StepRegistry<World>): void {
+  steps.define(
+    "side process {int} says that it leaves",
+    (world, index: number) => {
+      world.fleet.sideProcesses[index]?.child.signal("SIGTERM");
+      world.notes.set("leaving at", Date.now());
+    },
+  );
+  steps.define(
+    "backend server {int} gets no new work later than {int} s after",
+    async (world, index: number, seconds: number) => {
+      await world.settle();
+      const limit = (world.notes.get("leaving at") ?? 0) + seconds * 1_000;
+      const late = runsOf(world, index).filter((run) => run.startedAt > limit);
+      assert.equal(late.length, 0, `${late.length} runs started too late`);
+    },
+  );
+  steps.define(
+    "backend server {int} has run requests",
+    (world, index: number) => {
+      assert.ok(runsOf(world, index).length > 0);
+    },
+  );
+  steps.define(
+    "every failure came within {int} ms and says when to come back",
+    async (world, limitMs: number) => {
+      await world.settle();
+      const refused = world.results.filter(({ type }) => type === "refused");
+      assert.ok(refused.length > 0, "Nothing was refused");
+      for (const { startedMs, endedMs, retryAfter, code } of refused) {
+        const tookMs = endedMs - startedMs;
+        assert.ok(tookMs <= limitMs, `${code} took ${Math.round(tookMs)} ms`);
+        assert.match(retryAfter, /^\d+$/);
+      }
+    },
+  );
+}
+
+function runsOf(world: World, index: number): Execution[] {
+  const file = world.fleet.backends[index]?.logFile ?? "";
+  if (!existsSync(file)) return [];
+  return readFileSync(file, "utf8")
+    .split("\n")
+    .filter((line) => line !== "")
+    .map((line) => JSON.parse(line) as Execution);
+}
--- /dev/null
+++ b/tests/support/world.ts
@@ -0,0 +1,250 @@
+/** A fleet under test with its callers; the state of one scenario. */
+
+import { createHash } from "node:crypto";
+import { existsSync, readFileSync } from "node:fs";
+import type { Execution } from "../../stand_ins/run_log.ts";
+import {
+  deskDeployment,
+  shopDeployment,
+} from "../../tools/fleet/deployments.ts";
+import { Fleet, keyOf } from "../../tools/fleet/fleet.ts";
+import type { LinkPlace, Plan } from "../../tools/fleet/plan.ts";
+import { type CallResult, chat, send } from "../../tools/load/caller.ts";
+import type { CallRecord } from "./call_record.ts";
+import type { ScenarioWorld } from "./feature.ts";
+
+/** What a caller asks for. */
+export interface CallOptions {
+  readonly service?: string;
+  readonly team?: string;
+  readonly tokens?: number;
+  readonly stream?: boolean;
+  /** Absent leaves it to the configuration. */
+  readonly idempotent?: boolean;
+  readonly idempotencyKey?: string;
+  readonly router?: number;
+  /** Body text; a repeat sends the same one. */
+  readonly text?: string;
+  readonly workMs?: number;
+  readonly headers?: Readonly<Record<string, string>>;
+}
+
+/** Sizes of a scenario's fleet. */
+export interface FleetSize {
+  readonly routers: number;
+  readonly replicas: number;
+  readonly slots: number;
+  readonly deployment: "desk" | "shop";
+}
+
+/** State of one scenario. */
+export class World implements ScenarioWorld {
+  readonly calls: CallRecord[] = [];
+  readonly links = new Set<LinkPlace>();
+  seed = 1;
+  #fleet: Fleet | null = null;
+  #texts = 0;
+  #sending: { stop: () => void; done: Promise<void> } | null = null;
+  /** Notes that later steps read. */
+  readonly notes = new Map<string, number>();
+
+  /** The fleet of the scenario. */
+  get fleet(): Fleet {
+    if (this.#fleet === null) throw new Error("No fleet was started");
+    return this.#fleet;
+  }
+
+  /** Calls that have ended. */
+  get results(): CallResult[] {
+    return this.calls.flatMap(({ result }) => (result ? [result] : []));
+  }
+
+  /** Starts a fleet. */
+  async start(size: FleetSize): Promise<void> {
+    const base =
+      size.deployment === "desk" ? deskDeployment() : shopDeployment();
+    const plan: Plan = {
+      ...base,
+      routers: size.routers,
+      services: base.services.map((service) => ({
+        ...service,
+        replicas: size.replicas,
+        slots: size.slots,
+      })),
+      links: [...this.links],
+    };
+    this.#fleet = await Fleet.start(plan);
+  }
+
+  /** Sends a request to a model service or a plain one. */
+  call(options: CallOptions = {}): CallRecord {
+    this.#texts += 1;
+    const service = options.service ?? this.fleet.plan.services[0]?.name ?? "";
+    const plan = this.fleet.plan.services.find(({ name }) => name === service);
+    const text = options.text ?? `Request ${this.seed}-${this.#texts}`;
+    const router =
+      options.router ?? this.calls.length % this.fleet.routers.length;
+    const url = this.fleet.routers[router]?.url ?? "";
+    const team = options.team ?? this.fleet.plan.teams[0]?.name ?? "";
+    const request = {
+      ...{ url, team, service, text, options },
+      key: keyOf(this.fleet.plan.teams, team),
+      headers: headersOf(options),
+    };
+    const sent =
+      plan?.type === "plain" ? sendPlain(request) : sendChat(request);
+    const record: CallRecord = {
+      bodyHash: sent.bodyHash,
+      team,
+      idempotent: options.idempotent ?? plan?.type === "model",
+      idempotencyKey: options.idempotencyKey ?? "",
+      router,
+      ended: sent.result.then((result) => {
+        record.result = result;
+        return result;
+      }),
+      result: null,
+    };
+    this.calls.push(record);
+    return record;
+  }
+
+  /** Sends requests again and again until `stopSending`. */
+  keepSending(concurrency: number, options: CallOptions): void {
+    let going = true;
+    const loops = Array.from({ length: concurrency }, async () => {
+      while (going) await this.call(options).ended;
+    });
+    const done = Promise.all(loops).then(() => undefined);
+    this.#sending = {
+      stop: () => {
+        going = false;
+      },
+      done,
+    };
+  }
+
+  /** Ends `keepSending` and waits for its calls. */
+  async stopSending(): Promise<void> {
+    this.#sending?.stop();
+    await this.#sending?.done;
+    this.#sending = null;
+  }
+
+  /** Waits until every call has ended. */
+  async settle(): Promise<void> {
+    await this.stopSending();
+    await Promise.all(this.calls.map(({ ended }) => ended));
+  }
+
+  /** Everything that ran at any backend server, also before a crash. */
+  executions(): Execution[] {
+    return this.fleet.backends.flatMap(({ logFile }) => {
+      if (!existsSync(logFile)) return [];
+      const lines = readFileSync(logFile, "utf8").split("\n");
+      return lines
+        .filter((line) => line !== "")
+        .map((line) => JSON.parse(line) as Execution);
+    });
+  }
+
+  /** Ends everything; shows the logs of a scenario that failed. */
+  async close(failed: boolean): Promise<void> {
+    if (this.#fleet === null) return;
+    this.#sending?.stop();
+    if (failed) this.#showLogs(this.#fleet);
+    for (const { link } of [
+      ...this.#fleet.sideProcesses,
+      ...this.#fleet.backends,
+    ]) {
+      link?.heal();
+    }
+    await this.#fleet.stop();
+    await Promise.allSettled(this.calls.map(({ ended }) => ended));
+  }
+
+  #showLogs(fleet: Fleet): void {
+    for (const { instance, child } of [
+      ...fleet.routers,
+      ...fleet.sideProcesses,
+    ]) {
+      const lines = child.log.slice(-15).join("\n  ");
+      console.error(`--- ${instance.name}\n  ${lines}`);
+    }
+    const kinds = new Map<string, number>();
+    for (const { type, outcome, code } of this.results) {
+      const kind = `${type} ${outcome} ${code}`;
+      kinds.set(kind, (kinds.get(kind) ?? 0) + 1);
+    }
+    console.error("--- calls", Object.fromEntries(kinds));
+  }
+}
+
+interface Request {
+  readonly url: string;
+  readonly key: string;
+  readonly service: string;
+  readonly text: string;
+  readonly headers: Record<string, string>;
+  readonly options: CallOptions;
+}
+
+interface Sent {
+  readonly bodyHash: string;
+  readonly result: Promise<CallResult>;
+}
+
+function sendChat({
+  url,
+  key,
+  service,
+  text,
+  headers,
+  options,
+}: Request): Sent {
+  const { tokens: maxTokens = 10, stream = true } = options;
+  const messages = [{ role: "user", content: text }];
+  const body = { model: service, messages, stream, max_tokens: maxTokens };
+  const result = chat({
+    ...{ url, key, headers, maxTokens, stream },
+    model: service,
+    prompt: text,
+  });
+  return { bodyHash: hash(JSON.stringify(body)), result };
+}
+
+function sendPlain({
+  url,
+  key,
+  service,
+  text,
+  headers,
+  options,
+}: Request): Sent {
+  const query = `workMs=${options.workMs ?? 10}`;
+  const target = `${url}/services/${service}/orders?${query}`;
+  const result = send(target, { method: "POST", key, body: text, headers });
+  const bodyHash = hash(text);
+  const checked = result.then((answer): CallResult => {
+    if (answer.type !== "answered") return answer;
+    return answer.body.includes(bodyHash)
+      ? answer
+      : { ...answer, type: "wrong" };
+  });
+  return { bodyHash, result: checked };
+}
+
+function headersOf(options: CallOptions): Record<string, string> {
+  const headers: Record<string, string> = { ...options.headers };
+  if (options.idempotent !== undefined) {
+    headers["oriole-idempotent"] = String(options.idempotent);
+  }
+  if (options.idempotencyKey !== undefined) {
+    headers["idempotency-key"] = options.idempotencyKey;
+  }
+  return headers;
+}
+
+function hash(text: string): string {
+  return createHash("sha256").update(text).digest("hex");
+}
--- a/tools/fleet/fleet.ts
+++ b/tools/fleet/fleet.ts
@@ -3,9 +3,14 @@
 import { mkdtemp, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import type { Result } from "neverthrow";
 import { systemClock } from "../../src/common/clock.ts";
 import { Deadline } from "../../src/common/deadline.ts";
-import { apply, type Document } from "../../src/configuration/mod.ts";
+import {
+  type ApplyError,
+  apply,
+  type Document,
+} from "../../src/configuration/mod.ts";
 import { type Instance, ObjectStore } from "../../src/platform/mod.ts";
 import { Child } from "./child.ts";
 import { Link } from "./link.ts";
@@ -14,6 +19,7 @@
 import { until } from "./until.ts";
 
 const START_TIMEOUT_MS = 30_000;
+const APPLY_TIMEOUT_MS = 20_000;
 const FLEET_KEY = "fleet-key-of-the-loopback-fleet";
 const HOST = "127.0.0.1";
 
@@ -25,6 +31,8 @@
   readonly service: string;
   readonly url: string;
   readonly link: Link | null;
+  /** Where its run log is kept. */
+  readonly logFile: string;
   child: Child;
   /** Starts it again after its end. */
   restart(): Promise<void>;
@@ -107,21 +115,26 @@
 
   /** Applies a document as an operator would; returns its version. */
   async configure(document: Document): Promise<number> {
-    const url = `http://${HOST}:${this.#platformPort}`;
-    const store = new ObjectStore(url);
+    const applied = await this.apply(document, null);
+    if (applied.isErr()) throw new Error(`Can't apply: ${applied.error.type}`);
+    return applied.value;
+  }
+
+  /** Applies a document if `expected` is still in force. */
+  async apply(
+    document: Document,
+    expected: number | null,
+  ): Promise<Result<number, ApplyError>> {
+    const store = new ObjectStore(`http://${HOST}:${this.#platformPort}`);
+    const text = JSON.stringify(document, null, 2);
+    const deadline = new Deadline(systemClock, APPLY_TIMEOUT_MS);
     const applied = await apply(
       store,
-      {
-        text: JSON.stringify(document, null, 2),
-        operator: "launcher",
-        comment: "",
-        expected: null,
-      },
-      { clock: systemClock, deadline: new Deadline(systemClock, 5_000) },
+      { text, operator: "launcher", comment: "", expected },
+      { clock: systemClock, deadline },
     );
     await store.close();
-    if (applied.isErr()) throw new Error(`Can't apply: ${applied.error.type}`);
-    return applied.value;
+    return applied;
   }
 
   /** Reads `/status` of a process; null when it doesn't answer. */
@@ -210,7 +223,10 @@
       number,
       number,
     ];
-    const backend = await this.#startBackend(service, backendPort);
+    const backend = await this.#startBackend(service, {
+      port: backendPort,
+      logFile: join(this.directory, `${name}-${index}.runs`),
+    });
     const links = this.plan.links ?? [];
     const link = links.includes("side-process")
       ? await Link.start(linkPort)
@@ -237,7 +253,10 @@
     await this.register(instance);
   }
 
-  async #startBackend(service: ServicePlan, port: number): Promise<Backend> {
+  async #startBackend(
+    service: ServicePlan,
+    { port, logFile }: { readonly port: number; readonly logFile: string },
+  ): Promise<Backend> {
     const { type, stepMs, slots } = service;
     const script =
       type === "model"
@@ -245,6 +264,7 @@
         : "stand_ins/plain_service/main.js";
     const step = type === "model" ? "--step-ms" : "--work-ms";
     const args = ["--port", String(port), step, String(stepMs)];
+    args.push("--log", logFile);
     if (type === "model") args.push("--slots", String(slots));
     const start = () => Child.start(service.name, script, args);
     const direct = `http://${HOST}:${port}`;
@@ -255,6 +275,7 @@
       service: service.name,
       url: `http://${HOST}:${link?.port ?? port}`,
       link,
+      logFile,
       child: start(),
       restart: async () => {
         await backend.child.kill();
