Keep a router alive through defects and an engine's crash

Cause: an engine that died after its head answered the resume with 'connection refused', which was told as 'not run'; the router then tried again after the head was sent and ended by an uncaught exception. Ruled out: the engine's run log showed each request once. Change: a resume never says 'not sent'; the head is kept back until a body follows, so that an idempotent request can be retried; a defect in one request is logged and ends that request only.

--- a/src/router/entry.ts
+++ b/src/router/entry.ts
@@ -5,12 +5,15 @@
 import type { ServiceBroker } from "moleculer";
 import ApiGateway from "moleculer-web";
 import { err, ok, type Result } from "neverthrow";
+import { logger } from "../common/log.ts";
 import type { Service } from "../configuration/mod.ts";
 import { CallerAnswer } from "./caller_answer.ts";
 import { badRequest, type Failure } from "./failure.ts";
 import { type Address, type Reader, readBody } from "./reader.ts";
 import type { Serving } from "./serving.ts";
 
+const log = logger("router");
+
 const CHAT_PATH = "/v1/chat/completions";
 const SERVICES_PREFIX = "/services/";
 /** Largest body read before its model is known. */
@@ -31,7 +34,11 @@
   { host, port }: { readonly host: string; readonly port: number },
 ): void {
   const handle = (request: IncomingMessage, response: ServerResponse) => {
-    void new Exchange(parts, request, response).run();
+    void new Exchange(parts, request, response).run().catch((error) => {
+      // A defect must not take the other callers' requests with it.
+      log.error(`Request failed by a defect: ${(error as Error).stack}`);
+      response.destroy();
+    });
   };
   broker.createService({
     name: "entry",
--- a/src/router/serving.ts
+++ b/src/router/serving.ts
@@ -3,7 +3,7 @@
 import type { Clock } from "../common/clock.ts";
 import { sleep } from "../common/signal.ts";
 import type { Registry } from "../metrics/mod.ts";
-import type { Failed, Grant, Refused, Run } from "../protocol/mod.ts";
+import type { Failed, Grant, Head, Refused, Run } from "../protocol/mod.ts";
 import type { BurnRecorder } from "../report/mod.ts";
 import type { Lost } from "./answer_event.ts";
 import type { Attempt } from "./attempt.ts";
@@ -245,6 +245,12 @@
   ): Promise<Outcome> {
     const name = attempt.run.attempt;
     let acknowledged = 0;
+    // Kept back until a body follows: until then, a retry is possible.
+    let head: Head | null = null;
+    const begin = () => {
+      if (head !== null) answer.begin(head);
+      head = null;
+    };
     const acknowledge = (offset: number) => {
       acknowledged = offset;
       peer.send({ type: "acknowledge", attempt: name, offset });
@@ -252,9 +258,10 @@
     for await (const event of attempt.events) {
       switch (event.type) {
         case "head":
-          answer.begin(event);
+          head = event;
           break;
         case "data": {
+          begin();
           await answer.write(
             event.bytes as Buffer,
             this.#parts.clock.monotonicMs(),
@@ -266,6 +273,7 @@
           break;
         }
         case "end":
+          begin();
           acknowledge(event.offset);
           answer.end();
           return { type: "answered" };
@@ -337,7 +345,7 @@
     failed: Failed,
   ): Decision {
     const { outcome, code, sentence, retryAfterMs } = failed;
-    if (outcome === "not-run") {
+    if (outcome === "not-run" && !answer.begun) {
       if (this.#retries.spend()) return { type: "retry" };
       const failure = notRun(503, code, { sentence, retryAfterMs });
       return { type: "fail", failure };
--- a/src/side_process/backend_client.ts
+++ b/src/side_process/backend_client.ts
@@ -89,7 +89,9 @@
   ): Promise<Result<Reply, BackendError>> {
     const path = `${requestPath(attempt)}/answer?offset=${offset}`;
     const reply = await this.#call(path, { method: "GET", signal });
-    if (reply.isErr() || reply.value.status !== 404) return reply;
+    // The request itself was sent before: "not sent" tells of the resume.
+    if (reply.isErr()) return err({ ...reply.error, type: "broken" });
+    if (reply.value.status !== 404) return reply;
     const sentence = "Backend server does not know the request";
     return err({ type: "unknown-request", sentence });
   }
--- a/tools/load/caller.ts
+++ b/tools/load/caller.ts
@@ -31,6 +31,8 @@
   readonly code: string;
   readonly retryAfter: string;
   readonly requestId: string;
+  /** Whether status and headers came. */
+  readonly begun: boolean;
   readonly startedMs: number;
   readonly firstTokenMs: number | null;
   readonly endedMs: number;
@@ -80,6 +82,7 @@
   const startedMs = performance.now();
   let firstTokenMs: number | null = null;
   let body = "";
+  let begun = false;
   try {
     const response = await request(url, {
       method: call.method,
@@ -92,6 +95,7 @@
       dispatcher: agent,
       ...(call.signal === undefined ? {} : { signal: call.signal }),
     });
+    begun = true;
     for await (const piece of response.body) {
       const nowMs = performance.now();
       firstTokenMs ??= nowMs;
@@ -107,6 +111,7 @@
       code: outcome === "" ? "" : codeOf(body),
       retryAfter: header("retry-after"),
       requestId: header("oriole-request-id"),
+      begun,
       startedMs,
       firstTokenMs,
       endedMs: performance.now(),
@@ -122,6 +127,7 @@
       code: told === undefined ? (error as Error).message : codeOf(told),
       retryAfter: "",
       requestId: "",
+      begun,
       startedMs,
       firstTokenMs,
       endedMs: performance.now(),
