Run each idempotency key at most once; quarantine crashing requests

At most once: a key's range has one arbiter by a lease in the object API; a key is remembered by two side processes before its request starts, and the lease is checked on the monotonic clock right before. A new arbiter asks the others; where the memory may be incomplete it answers 'unknown'. Crashes: each request that ran in a crash is struck; a suspect runs beside no other suspect, at the second strike it is refused.

Cause of a mended fault: the ledger's debt cap changed the shared value by what one process had seen, so that peers came apart (found by the property tests, seed 4711). The cap is local now: 'standing' is the order, 'value' is shared.

--- a/src/fairness/ledger.ts
+++ b/src/fairness/ledger.ts
@@ -21,7 +21,7 @@
 interface Entry {
   epoch: number;
   level: number;
-  /** Debt beyond the limit that this process has let go. */
+  /** Debt beyond the limit that this process does not hold against it. */
   forgiven: number;
   readonly counters: Map<string, Counter>;
   /** Origins at which the team waits. */
@@ -52,12 +52,18 @@
     return this.#floor;
   }
 
-  /** Returns a team's normalised service. */
+  /** Returns a team's normalised service, alike at all processes in time. */
   value(team: string): number {
     const entry = this.#entries.get(team);
     return entry === undefined ? this.#floor : totalOf(entry);
   }
 
+  /** Returns the value that this process orders a team by. */
+  standing(team: string): number {
+    const entry = this.#entries.get(team);
+    return entry === undefined ? this.#floor : standingOf(entry);
+  }
+
   /** Returns the normalised service of every team with state. */
   values(): Record<string, number> {
     const values: Record<string, number> = {};
@@ -100,7 +106,7 @@
 
   /** Moves the floor up to what is served without anybody waiting. */
   advance(team: string): void {
-    this.#floor = Math.max(this.#floor, this.value(team));
+    this.#floor = Math.max(this.#floor, this.standing(team));
   }
 
   /** Returns the least served of the teams, and moves the floor up to it. */
@@ -108,7 +114,7 @@
     let least: string | null = null;
     let leastValue = Number.POSITIVE_INFINITY;
     for (const team of teams) {
-      const value = this.value(team);
+      const value = this.standing(team);
       if (value >= leastValue) continue;
       least = team;
       leastValue = value;
@@ -168,7 +174,7 @@
     for (const [team, entry] of this.#entries) {
       if (entry.counters.size > ORIGIN_LIMIT) this.#fold(entry);
       const idle = entry.waitingAt.size === 0 && entry.open === 0;
-      if (idle && totalOf(entry) <= this.#floor) this.#entries.delete(team);
+      if (idle && standingOf(entry) <= this.#floor) this.#entries.delete(team);
     }
   }
 
@@ -196,7 +202,7 @@
   }
 
   #raise(entry: Entry): void {
-    entry.level += Math.max(0, this.#floor - totalOf(entry));
+    entry.level += Math.max(0, this.#floor - standingOf(entry));
   }
 
   #fold(entry: Entry): void {
@@ -207,7 +213,7 @@
   #forgive(entry: Entry): void {
     const limit = this.#floor + DEBT_LIMIT_CHARGES * this.#largestCharge;
     if (this.#largestCharge === 0) return;
-    entry.forgiven += Math.max(0, totalOf(entry) - limit);
+    entry.forgiven += Math.max(0, standingOf(entry) - limit);
   }
 }
 
@@ -229,8 +235,12 @@
   entry.counters.clear();
 }
 
-function totalOf({ level, forgiven, counters }: Entry): number {
-  let value = level - forgiven;
+function standingOf(entry: Entry): number {
+  return totalOf(entry) - entry.forgiven;
+}
+
+function totalOf({ level, counters }: Entry): number {
+  let value = level;
   for (const { charged, refunded } of counters.values()) {
     value += charged - refunded;
   }
--- a/src/platform/mod.ts
+++ b/src/platform/mod.ts
@@ -1,6 +1,7 @@
 /** What the platform gives: objects and the list of instances. */
 
 export { type Instance, InstanceList, read } from "./instance_list.ts";
+export { type Holder, LEASE_MS, Lease } from "./lease.ts";
 export {
   type ObjectName,
   ObjectStore,
--- a/src/protocol/message.ts
+++ b/src/protocol/message.ts
@@ -149,10 +149,7 @@
   | "leaving"
   | "unknown-attempt"
   | "deadline"
-  | "quarantined"
-  | "arbiter-unavailable"
-  | "backend-unreachable"
-  | "key-in-use";
+  | "quarantined";
 
 /** Status line and headers of an answer. */
 export interface Head {
@@ -212,7 +209,7 @@
 /** Asks the arbiter of a key to let an attempt start. */
 export interface Claim {
   readonly type: "claim";
-  readonly claim: number;
+  readonly query: number;
   readonly key: string;
   readonly attempt: string;
   readonly bodyHash: string;
@@ -222,7 +219,7 @@
 export type ClaimState =
   | "go"
   | "running"
-  | "ended"
+  | "answered"
   | "unknown"
   | "mismatch"
   | "not-arbiter";
@@ -230,27 +227,50 @@
 /** Answers a claim. */
 export interface ClaimAnswer {
   readonly type: "claim-answer";
-  readonly claim: number;
+  readonly query: number;
   readonly state: ClaimState;
-  /** How long the lease holds from the moment the claim was sent. */
+  /** How long the lease holds, counted from when the claim was sent. */
   readonly leaseMs: number;
-  /** Instance that holds the stored answer, or that runs the key. */
-  readonly holder: string;
+  /** Stored answer of a key that was answered. */
+  readonly answer: StoredAnswer;
 }
 
-/** Tells the arbiter how a claimed key ended. */
-export interface Settle {
-  readonly type: "settle";
-  readonly key: string;
-  readonly attempt: string;
-  readonly outcome: KeyOutcome;
+/** An answer as it is kept for repeats. */
+export interface StoredAnswer {
+  /** 0 when the answer was too long to keep. */
   readonly status: number;
   readonly headers: readonly Header[];
   readonly body: Uint8Array;
 }
 
-/** How a keyed request ended. */
-export type KeyOutcome = "answered" | "not-run" | "unknown";
+/** How a keyed request stands. */
+export type KeyState = "running" | "answered" | "not-run" | "unknown";
+
+/** What a side process remembers of a key. */
+export interface KeyRecord {
+  readonly key: string;
+  readonly attempt: string;
+  readonly bodyHash: string;
+  readonly state: KeyState;
+  /** Incarnation of the side process that runs or ran it. */
+  readonly runner: string;
+  readonly answer: StoredAnswer;
+}
+
+/** Hands records over; answered if `query` is not 0. */
+export interface KeyUpdate {
+  readonly type: "key-update";
+  readonly query: number;
+  readonly records: readonly KeyRecord[];
+  /** How far back the sender's memory reaches, if all of it is handed over. */
+  readonly memoryMs: number;
+}
+
+/** Says that a key update is kept. */
+export interface KeyKept {
+  readonly type: "key-kept";
+  readonly query: number;
+}
 
 /** Asks a side process what it knows of a key. */
 export interface KeyQuery {
@@ -263,12 +283,11 @@
 export interface KeyAnswer {
   readonly type: "key-answer";
   readonly query: number;
-  readonly state: "none" | "running" | KeyOutcome;
-  readonly attempt: string;
-  readonly bodyHash: string;
-  readonly status: number;
-  readonly headers: readonly Header[];
-  readonly body: Uint8Array;
+  /** Empty when nothing is known. */
+  readonly records: readonly KeyRecord[];
+  readonly memoryMs: number;
+  /** Side processes that ended without handing their keys over. */
+  readonly losses: number;
 }
 
 /** Says that requests ran in a backend server when it crashed. */
@@ -309,7 +328,8 @@
   | Counters
   | Claim
   | ClaimAnswer
-  | Settle
+  | KeyUpdate
+  | KeyKept
   | KeyQuery
   | KeyAnswer
   | Strike
--- a/src/protocol/schema.ts
+++ b/src/protocol/schema.ts
@@ -24,6 +24,17 @@
   waiting: flag,
 });
 
+const answer = object({ status: count, headers, body: bytes });
+
+const keyRecord = object({
+  key: text,
+  attempt,
+  bodyHash: text,
+  state: { enum: ["running", "answered", "not-run", "unknown"] },
+  runner: text,
+  answer,
+});
+
 const fieldsByType: Record<Message["type"], Record<string, object>> = {
   hello: {
     protocolVersion: count,
@@ -74,25 +85,27 @@
     retryAfterMs: amount,
   },
   counters: { entries: { type: "array", items: ledgerEntry } },
-  claim: { claim: count, key: text, attempt, bodyHash: text },
-  "claim-answer": { claim: count, state: text, leaseMs: amount, holder: text },
-  settle: {
-    key: text,
-    attempt,
-    outcome: { enum: ["answered", "not-run", "unknown"] },
-    status: count,
-    headers,
-    body: bytes,
+  claim: { query: count, key: text, attempt, bodyHash: text },
+  "claim-answer": {
+    query: count,
+    state: {
+      enum: ["go", "running", "answered", "unknown", "mismatch", "not-arbiter"],
+    },
+    leaseMs: amount,
+    answer,
+  },
+  "key-update": {
+    query: count,
+    records: { type: "array", items: keyRecord },
+    memoryMs: amount,
   },
+  "key-kept": { query: count },
   "key-query": { query: count, key: text },
   "key-answer": {
     query: count,
-    state: { enum: ["none", "running", "answered", "not-run", "unknown"] },
-    attempt,
-    bodyHash: text,
-    status: count,
-    headers,
-    body: bytes,
+    records: { type: "array", maxItems: 1, items: keyRecord },
+    memoryMs: amount,
+    losses: count,
   },
   strike: { crash: text, fingerprints: { type: "array", items: text } },
   clear: { fingerprint: text },
--- a/src/router/serving.ts
+++ b/src/router/serving.ts
@@ -49,7 +49,7 @@
 type Decision =
   | { readonly type: "done" }
   | { readonly type: "fail"; readonly failure: Failure }
-  | { readonly type: "requeue" }
+  | { readonly type: "requeue"; readonly afterMs: number }
   | { readonly type: "retry" };
 
 /** One straight task per request. */
@@ -167,6 +167,7 @@
         case "fail":
           return truthful(decision.failure, path);
         case "requeue":
+          if (run.grant !== 0) await sleep(decision.afterMs);
           break;
         case "retry":
           path.mayHaveRun ||= outcome.type === "lost" || isUnknown(outcome);
@@ -318,24 +319,20 @@
     switch (code) {
       case "busy":
       case "leaving":
-        return { type: "requeue" };
+        return { type: "requeue", afterMs: retryAfterMs };
       case "unknown-attempt":
-      case "backend-unreachable":
-      case "arbiter-unavailable":
         if (this.#retries.spend()) return { type: "retry" };
         break;
       case "deadline":
-        if (!deadline.expired) return { type: "requeue" };
+        if (!deadline.expired) return { type: "requeue", afterMs: 0 };
         return { type: "fail", failure: deadlinePassed("not-run") };
       case "quarantined":
-      case "key-in-use":
         break;
       default:
         code satisfies never;
     }
     const sentence = REFUSAL_SENTENCES[code];
-    const status = code === "key-in-use" ? 409 : 503;
-    const failure = notRun(status, code, { sentence, retryAfterMs });
+    const failure = notRun(503, code, { sentence, retryAfterMs });
     return { type: "fail", failure };
   }
 
@@ -345,6 +342,12 @@
     failed: Failed,
   ): Decision {
     const { outcome, code, sentence, retryAfterMs } = failed;
+    const status = FINAL_STATUSES[code];
+    if (status !== undefined) {
+      const retry = { sentence, retryAfterMs };
+      const failure = { ...notRun(status, code, retry), outcome };
+      return { type: "fail", failure };
+    }
     if (outcome === "not-run" && !answer.begun) {
       if (this.#retries.spend()) return { type: "retry" };
       const failure = notRun(503, code, { sentence, retryAfterMs });
@@ -418,15 +421,21 @@
   }
 }
 
+/** Failures that another attempt can't mend, with their statuses. */
+const FINAL_STATUSES: Readonly<Record<string, number>> = {
+  "key-in-use": 409,
+  "key-mismatch": 422,
+  "key-outcome-unknown": 502,
+  "key-answer-not-kept": 502,
+  "arbiter-unavailable": 503,
+};
+
 const REFUSAL_SENTENCES: Record<Refused["code"], string> = {
   busy: "Every backend server is busy",
   leaving: "The backend server is leaving",
   "unknown-attempt": "The request did not reach its side process",
   deadline: "The deadline had passed before the request started",
   quarantined: "The request crashed backend servers before",
-  "arbiter-unavailable": "Nobody can tell now whether the key was used",
-  "backend-unreachable": "The backend server can't be reached",
-  "key-in-use": "A request with the same key is still running",
 };
 
 function notBound(request: CallerRequest, binding: Binding): Failure | null {
--- a/src/side_process/answer_buffer.ts
+++ b/src/side_process/answer_buffer.ts
@@ -21,6 +21,8 @@
 export class AnswerBuffer {
   head: AnswerHead | null = null;
   #pieces: Piece[] = [];
+  #keepBytes = 0;
+  #kept: Buffer[] = [];
   #endOffset = 0;
   #acknowledged = 0;
   #ended = false;
@@ -41,10 +43,22 @@
     return this.#ended && this.#acknowledged >= this.#endOffset;
   }
 
+  /** Keeps a copy of the whole answer, up to a size. */
+  keep(limitBytes: number): void {
+    this.#keepBytes = limitBytes;
+  }
+
+  /** The whole answer; null if it was longer than is kept. */
+  get whole(): Buffer | null {
+    if (this.#endOffset > this.#keepBytes) return null;
+    return Buffer.concat(this.#kept);
+  }
+
   /** Adds bytes and returns them as a piece. */
   append(bytes: Buffer): Piece {
     const piece = { offset: this.#endOffset, bytes };
     this.#pieces.push(piece);
+    if (piece.offset + bytes.length <= this.#keepBytes) this.#kept.push(bytes);
     this.#endOffset += bytes.length;
     return piece;
   }
--- a/src/side_process/attempt.ts
+++ b/src/side_process/attempt.ts
@@ -6,9 +6,11 @@
 import type {
   Failed,
   FailedOutcome,
+  Header,
   Message,
   Resume,
   Run,
+  StoredAnswer,
 } from "../protocol/mod.ts";
 import { AnswerBuffer } from "./answer_buffer.ts";
 import type { BackendClient, BackendError, Reply } from "./backend_client.ts";
@@ -24,6 +26,9 @@
 /** The router gives up first; this process only cleans up after it. */
 const DEADLINE_GRACE_MS = 500;
 
+/** Marks an answer that was kept of an earlier run. */
+const REPLAYED: Header = ["oriole-replayed", "true"];
+
 /** Where an attempt's answer goes. */
 export interface AnswerReceiver {
   send(message: Message): void;
@@ -34,6 +39,8 @@
   readonly clock: Clock;
   readonly backend: BackendClient;
   readonly charge: Charge;
+  /** Tells whether the server crashed; called before a failure is told. */
+  readonly hasCrashed: () => Promise<boolean>;
 }
 
 /** How an attempt ended. */
@@ -51,7 +58,7 @@
   readonly #abort = new AbortController();
   #receiver: AnswerReceiver | null;
   #result: AttemptResult | null = null;
-  #crashed = false;
+  #cancelled = false;
   #lastByteMs = 0;
 
   constructor(run: Run, parts: AttemptParts, receiver: AnswerReceiver) {
@@ -84,8 +91,9 @@
       () => this.#abort.abort("deadline"),
       this.#deadline.remainingMs,
     );
-    const failure = await this.#answer();
+    const error = await this.#answer();
     clearTimeout(timer);
+    const failure = error === null ? null : await this.#judge(error);
     const ending: Ending = failure === null ? "answered" : "failed";
     this.#parts.charge.settle(ending, this.#usage.final);
     if (failure === null) {
@@ -99,10 +107,32 @@
     return this.#result;
   }
 
+  /** Answers without a run, from an answer kept of an earlier one. */
+  replay({ status, headers, body }: StoredAnswer): void {
+    this.#parts.charge.cancel();
+    this.buffer.head = { status, headers: [...headers, REPLAYED] };
+    this.#sendHead();
+    const piece = this.buffer.append(Buffer.from(body));
+    this.#sendPiece(piece.offset, piece.bytes);
+    this.buffer.end();
+    this.#result = { type: "answered" };
+    this.#send(this.#endMessage());
+  }
+
+  /** Ends the attempt before it has run. */
+  refuse(failure: Omit<Failed, "type" | "attempt">): void {
+    this.#parts.charge.cancel();
+    const { attempt } = this.run;
+    const failed: Failed = { ...failure, type: "failed", attempt };
+    this.#result = { type: "failed", failure: failed };
+    this.#send(failed);
+  }
+
   /** Ends the attempt because nobody waits for its answer. */
   cancel(reason: string): void {
     this.buffer.abandon();
     if (this.#result !== null) return;
+    this.#cancelled = true;
     this.#abort.abort(reason);
     if (!this.#parts.backend.resumable) return;
     void this.#parts.backend.cancel(this.run.attempt);
@@ -110,7 +140,6 @@
 
   /** Says that the backend server has restarted: the request is lost. */
   crash(): void {
-    this.#crashed = true;
     this.#abort.abort("Backend server restarted");
   }
 
@@ -131,7 +160,7 @@
   }
 
   /** Returns null once the answer is whole. */
-  async #answer(): Promise<Failed | null> {
+  async #answer(): Promise<BackendError | null> {
     const { backend } = this.#parts;
     const { signal } = this.#abort;
     let reply = await backend.start(this.run, signal);
@@ -144,10 +173,8 @@
         : await this.#read(reply.value);
       if (broken === null) return null;
       if (this.buffer.endOffset > before) giveUp = resumeUntil();
-      if (broken.type !== "broken" || !backend.resumable) {
-        return this.#failure(broken);
-      }
-      if (signal.aborted || giveUp.expired) return this.#failure(broken);
+      if (broken.type !== "broken" || !backend.resumable) return broken;
+      if (signal.aborted || giveUp.expired) return broken;
       if (reply.isErr()) await sleep(ENGINE_RETRY_MS, signal);
       const offset = this.buffer.endOffset;
       reply = await backend.resume(this.run.attempt, offset, { signal });
@@ -201,7 +228,13 @@
     this.#sendPiece(piece.offset, piece.bytes);
   }
 
-  #failure(error: BackendError): Failed {
+  async #judge(error: BackendError): Promise<Failed> {
+    const ran = error.type !== "not-sent" && !this.#cancelled;
+    const crashed = ran && (await this.#parts.hasCrashed());
+    return this.#failure(error, crashed ? "crashed" : error.type);
+  }
+
+  #failure(error: BackendError, cause: string): Failed {
     const head = this.buffer.head !== null;
     const outcome: FailedOutcome =
       error.type === "not-sent" ? "not-run" : head ? "ran" : "unknown";
@@ -209,7 +242,7 @@
       type: "failed",
       attempt: this.run.attempt,
       outcome,
-      code: this.#crashed ? "backend-crashed" : `backend-${error.type}`,
+      code: `backend-${cause}`,
       sentence: error.sentence,
       retryAfterMs: 1_000,
     };
--- a/src/side_process/backend_client.ts
+++ b/src/side_process/backend_client.ts
@@ -90,7 +90,12 @@
     const path = `${requestPath(attempt)}/answer?offset=${offset}`;
     const reply = await this.#call(path, { method: "GET", signal });
     // The request itself was sent before: "not sent" tells of the resume.
-    if (reply.isErr()) return err({ ...reply.error, type: "broken" });
+    if (reply.isErr()) {
+      const { type, sentence } = reply.error;
+      // Nobody listens any more: the server has gone with its memory.
+      if (sentence.includes("ECONNREFUSED")) return err(GONE);
+      return err({ type: type === "not-sent" ? "broken" : type, sentence });
+    }
     if (reply.value.status !== 404) return reply;
     const sentence = "Backend server does not know the request";
     return err({ type: "unknown-request", sentence });
@@ -151,6 +156,11 @@
   }
 }
 
+const GONE: BackendError = {
+  type: "unknown-request",
+  sentence: "Backend server has gone",
+};
+
 function requestPath(attempt: string): string {
   return `/v1/requests/${encodeURIComponent(attempt)}`;
 }
--- a/src/side_process/backend_watch.ts
+++ b/src/side_process/backend_watch.ts
@@ -47,6 +47,18 @@
     }
   }
 
+  /** Incarnation of the server as last seen. */
+  get incarnation(): string {
+    return this.#incarnation;
+  }
+
+  /** Asks now whether the server of an incarnation has ended. */
+  async hasCrashed(incarnation: string): Promise<boolean> {
+    if (incarnation !== this.#incarnation) return true;
+    const health = await this.#backend.health();
+    return health === null || health.incarnation !== incarnation;
+  }
+
   /** Ends `run`. */
   close(): void {
     this.#stop.abort();
--- /dev/null
+++ b/src/side_process/keys/mod.ts
@@ -0,0 +1,12 @@
+/** At most one run per idempotency key. */
+
+export { Arbiter, type Claimant } from "./arbiter.ts";
+export { ANSWER_LIMIT_BYTES, KeyGuard, type KeyVerdict } from "./key_guard.ts";
+export { KeyLeases } from "./key_leases.ts";
+export {
+  KEY_WINDOW_MS,
+  KeyMemory,
+  NO_ANSWER,
+  WHOLE_HISTORY_MS,
+} from "./key_memory.ts";
+export type { PeerKeys } from "./peer_keys.ts";
--- a/src/side_process/peer_session.ts
+++ b/src/side_process/peer_session.ts
@@ -1,26 +1,49 @@
 /** The task of one connection between side processes of a service. */
 
 import { logger } from "../common/log.ts";
+import { Deferred, within } from "../common/signal.ts";
 import { type ActiveConfiguration, spread } from "../configuration/mod.ts";
 import type { Ledger } from "../fairness/mod.ts";
-import type { LedgerEntry, Message } from "../protocol/mod.ts";
+import type {
+  KeyAnswer,
+  KeyUpdate,
+  LedgerEntry,
+  Message,
+} from "../protocol/mod.ts";
 import type { Connection } from "../transport/mod.ts";
+import type { Arbiter, KeyMemory } from "./keys/mod.ts";
+import type { Quarantine } from "./quarantine.ts";
 
 const log = logger("side-process");
 
 /** Entries sent in one message. */
 const BATCH_ENTRIES = 500;
+/** Longest wait for a peer's answer. */
+const ANSWER_TIMEOUT_MS = 1_000;
 
 /** What a session shares with the rest of the process. */
 export interface PeerSessionParts {
   readonly active: ActiveConfiguration;
   readonly ledger: Ledger;
+  readonly memory: KeyMemory;
+  readonly quarantine: Quarantine;
+  readonly arbiter: () => Arbiter;
+  /** Peers lost without handover, as this process saw them. */
+  readonly losses: () => number;
 }
 
-/** Exchanges counters with one peer. */
+type Question = Extract<
+  Message,
+  { readonly type: "claim" | "key-query" | "key-update" }
+>;
+
+/** Exchanges counters, keys and strikes with one peer. */
 export class PeerSession {
   readonly #connection: Connection;
   readonly #parts: PeerSessionParts;
+  readonly #questions = new Map<number, Deferred<Message | null>>();
+  #lastQuery = 0;
+  #left = false;
 
   constructor(connection: Connection, parts: PeerSessionParts) {
     this.#connection = connection;
@@ -32,15 +55,27 @@
     return this.#connection.peer.instance;
   }
 
+  /** Incarnation of the peer. */
+  get incarnation(): string {
+    return this.#connection.peer.incarnation;
+  }
+
+  /** Whether the peer handed over what it knew before it left. */
+  get left(): boolean {
+    return this.#left;
+  }
+
   /** Serves until the connection closes. */
   async serve(): Promise<void> {
-    const { active, ledger } = this.#parts;
+    const { active, ledger, quarantine } = this.#parts;
     this.sendCounters(ledger.snapshot());
+    for (const strike of quarantine.strikes()) this.send(strike);
     for await (const message of this.#connection.messages) {
       if (spread.handle(active, this.#connection, message)) continue;
       this.#handle(message);
     }
-    ledger.forget(this.#connection.peer.incarnation);
+    ledger.forget(this.incarnation);
+    for (const question of this.#questions.values()) question.resolve(null);
   }
 
   /** Announces the configuration version. */
@@ -48,19 +83,62 @@
     this.#connection.announce();
   }
 
+  /** Sends a message that needs no answer. */
+  send(message: Message): void {
+    this.#connection.send(message);
+  }
+
   /** Sends entries of the ledger, in batches. */
   sendCounters(entries: readonly LedgerEntry[]): void {
     for (let at = 0; at < entries.length; at += BATCH_ENTRIES) {
       const batch = entries.slice(at, at + BATCH_ENTRIES);
-      this.#connection.send({ type: "counters", entries: batch });
+      this.send({ type: "counters", entries: batch });
     }
   }
 
+  /** Asks the peer; null when no answer came in time. */
+  async ask<T extends Message>(
+    create: (query: number) => Question,
+  ): Promise<T | null> {
+    this.#lastQuery += 1;
+    const query = this.#lastQuery;
+    const answered = new Deferred<Message | null>();
+    this.#questions.set(query, answered);
+    this.send(create(query));
+    const answer = await within(answered.promise, ANSWER_TIMEOUT_MS);
+    this.#questions.delete(query);
+    return answer.type === "value" ? (answer.value as T | null) : null;
+  }
+
   #handle(message: Message): void {
+    const { quarantine } = this.#parts;
     switch (message.type) {
       case "counters":
         this.#merge(message.entries);
         return;
+      case "claim":
+        void this.#decide(message);
+        return;
+      case "key-query":
+        this.send(this.#keyAnswer(message.query, message.key));
+        return;
+      case "key-update":
+        this.#keep(message);
+        return;
+      case "claim-answer":
+      case "key-answer":
+      case "key-kept":
+        this.#questions.get(message.query)?.resolve(message);
+        return;
+      case "strike":
+        quarantine.strike(message);
+        return;
+      case "clear":
+        quarantine.clear(message.fingerprint);
+        return;
+      case "leaving":
+        this.#left = true;
+        return;
       default:
         log.warn(`Ignored ${message.type} of peer ${this.instance}`);
     }
@@ -74,4 +152,34 @@
       .filter((entry) => entry !== null);
     this.sendCounters(behind);
   }
+
+  async #decide(
+    claim: Extract<Message, { readonly type: "claim" }>,
+  ): Promise<void> {
+    const { key, attempt, bodyHash, query } = claim;
+    const answer = await this.#parts.arbiter().decide({
+      claim: { key, attempt, bodyHash },
+      runner: this.incarnation,
+    });
+    this.send({ ...answer, query });
+  }
+
+  #keyAnswer(query: number, key: string): KeyAnswer {
+    const { memory, losses } = this.#parts;
+    const record = memory.get(key);
+    return {
+      type: "key-answer",
+      query,
+      records: record === null ? [] : [record],
+      memoryMs: memory.memoryMs,
+      losses: losses(),
+    };
+  }
+
+  #keep({ records, memoryMs, query }: KeyUpdate): void {
+    const { memory } = this.#parts;
+    for (const record of records) memory.put(record);
+    if (memoryMs > 0) memory.extend(memoryMs);
+    if (query !== 0) this.send({ type: "key-kept", query });
+  }
 }
--- a/src/side_process/side_process.ts
+++ b/src/side_process/side_process.ts
@@ -25,7 +25,15 @@
 import { BackendClient } from "./backend_client.ts";
 import { BackendWatch } from "./backend_watch.ts";
 import { Dispatcher } from "./dispatcher.ts";
+import {
+  Arbiter,
+  KeyGuard,
+  KeyLeases,
+  KeyMemory,
+  WHOLE_HISTORY_MS,
+} from "./keys/mod.ts";
 import { Peers } from "./peers.ts";
+import { Quarantine } from "./quarantine.ts";
 import { RouterSession } from "./router_session.ts";
 import { Runner } from "./runner.ts";
 
@@ -59,6 +67,10 @@
   readonly #backendWatch: BackendWatch;
   readonly #dispatcher: Dispatcher;
   readonly #runner: Runner;
+  readonly #memory = new KeyMemory(this.#clock);
+  readonly #quarantine = new Quarantine(this.#clock);
+  readonly #leases: KeyLeases;
+  readonly #arbiter: Arbiter;
   readonly #peers: Peers;
   readonly #listener: Listener;
   readonly #watcher: ConfigurationWatcher;
@@ -95,22 +107,43 @@
       },
     );
     this.#dispatcher.setPaused(true);
-    this.#runner = new Runner({
-      clock,
-      backend: this.#backend,
-      attempts: this.#attempts,
-      dispatcher: this.#dispatcher,
-      metrics: this.#metrics,
-    });
     this.#backendWatch = new BackendWatch(this.#backend, {
       up: () => this.#backendUp(),
       down: () => this.#backendDown(),
       restarted: () => this.#backendRestarted(),
     });
     const credentials = { identity: this.#identity, fleetKey };
-    this.#peers = new Peers(credentials, owner, {
-      active,
+    const quarantine = this.#quarantine;
+    const memory = this.#memory;
+    this.#peers = new Peers({
+      ...{ clock, active, credentials, owner, memory, quarantine },
       ledger: this.#ledger,
+      arbiter: () => this.#arbiter,
+    });
+    const { incarnation, service } = this.#identity;
+    this.#leases = new KeyLeases({
+      clock,
+      store: this.#store,
+      service,
+      own: { instance, incarnation },
+      historyBegins: () => memory.extend(WHOLE_HISTORY_MS),
+      members: () => [instance, ...this.#peers.instances],
+    });
+    const peers = this.#peers;
+    const leases = this.#leases;
+    this.#arbiter = new Arbiter({ clock, leases, memory, peers, incarnation });
+    this.#runner = new Runner({
+      ...{ clock, quarantine },
+      backend: this.#backend,
+      attempts: this.#attempts,
+      dispatcher: this.#dispatcher,
+      metrics: this.#metrics,
+      watch: this.#backendWatch,
+      keys: new KeyGuard({
+        ...{ clock, leases, memory, peers, instance, incarnation },
+        arbiter: this.#arbiter,
+      }),
+      tellPeers: (message) => peers.broadcast(message),
     });
     this.#listener = new Listener(credentials, owner, {
       serve: (connection) => this.#serve(connection),
@@ -131,6 +164,7 @@
     void this.#watcher.run();
     void this.#instances.run((list) => this.#listed(list));
     void this.#backendWatch.run();
+    void this.#leases.run();
     this.#timers.push(setInterval(() => this.#spreadCounters(), SPREAD_MS));
     this.#timers.push(setInterval(() => this.#sweep(), SWEEP_MS));
     const { service } = this.#settings.backendServer;
@@ -146,6 +180,8 @@
       await sleep(DRAIN_CHECK_MS);
     }
     for (const timer of this.#timers) clearInterval(timer);
+    await this.#leases.close();
+    await this.#peers.handOver();
     this.#watcher.close();
     this.#instances.close();
     this.#backendWatch.close();
@@ -216,13 +252,15 @@
     // The quantum grows with the peers, so that the bytes sent do not.
     const shares = Math.max(1, this.#peers.count / 2);
     const quantum = this.#dispatcher.meanCost * shares;
-    this.#peers.broadcast(this.#spread.due(quantum));
+    this.#peers.sendCounters(this.#spread.due(quantum));
   }
 
   #sweep(): void {
     this.#attempts.sweep();
     this.#ledger.collect();
     this.#spread.collect();
+    this.#memory.sweep();
+    this.#quarantine.sweep();
   }
 
   #createBroker(): ServiceBroker {
@@ -260,6 +298,9 @@
       granted: this.#dispatcher.outstanding,
       free: this.#dispatcher.free,
       peers: this.#peers.count,
+      keyRanges: this.#leases.held,
+      keys: this.#memory.size,
+      suspects: this.#quarantine.size,
       routers: this.#sessions.size,
       traffic: this.#traffic.totals,
       messages: Object.fromEntries(this.#traffic.messagesByType),
--- a/src/transport/traffic.ts
+++ b/src/transport/traffic.ts
@@ -17,7 +17,8 @@
     case "head":
     case "data":
     case "end":
-    case "settle":
+    case "claim-answer":
+    case "key-update":
     case "key-answer":
       return true;
     default:
--- /dev/null
+++ b/tests/fairness/estimator_test.ts
@@ -0,0 +1,40 @@
+/** Estimates follow what requests cost. */
+
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { Meter } from "../../src/configuration/mod.ts";
+import { Estimator } from "../../src/fairness/mod.ts";
+
+const TOKENS: Meter = {
+  type: "tokens",
+  promptWeight: 0.25,
+  generatedWeight: 1,
+};
+
+test("estimates of a team and kind come near its costs", () => {
+  const estimator = new Estimator();
+  const expectation = { team: "a", kind: "summary", costHint: 0 };
+  for (let count = 0; count < 30; count += 1) estimator.learn(expectation, 500);
+  assert.ok(Math.abs(estimator.estimate(TOKENS, expectation) - 500) < 5);
+});
+
+test("hints that are always off by the same factor are corrected", () => {
+  const estimator = new Estimator();
+  const expectation = { team: "a", kind: "summary", costHint: 100 };
+  for (let count = 0; count < 30; count += 1) estimator.learn(expectation, 400);
+  const estimate = estimator.estimate(TOKENS, { ...expectation, costHint: 50 });
+  assert.ok(Math.abs(estimate - 200) < 5, `Estimate is ${estimate}`);
+});
+
+test("completed requests cost the weight of their kind", () => {
+  const meter: Meter = {
+    type: "completed",
+    defaultWeight: 1,
+    weightByKind: { exchange: 3 },
+  };
+  const estimator = new Estimator();
+  const estimate = (kind: string) =>
+    estimator.estimate(meter, { team: "a", kind, costHint: 99 });
+  assert.equal(estimate("exchange"), 3);
+  assert.equal(estimate("other"), 1);
+});
--- /dev/null
+++ b/tests/fairness/ledger_test.ts
@@ -0,0 +1,151 @@
+/** The ledger merges in any order, any number of times, with losses. */
+
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import { Ledger } from "../../src/fairness/mod.ts";
+import type { LedgerEntry } from "../../src/protocol/mod.ts";
+
+const SEED = 4711;
+const TOLERANCE = 1e-6;
+
+interface Charge {
+  readonly origin: number;
+  readonly team: string;
+  readonly amount: number;
+}
+
+const team = fc.constantFrom("a", "b", "c");
+const charge: fc.Arbitrary<Charge> = fc.record({
+  origin: fc.nat({ max: 2 }),
+  team,
+  amount: fc.integer({ min: -5, max: 100 }),
+});
+
+function createLedgers(): Ledger[] {
+  return [0, 1, 2].map((origin) => new Ledger(`origin-${origin}`));
+}
+
+function exchange(ledgers: readonly Ledger[]): void {
+  const updates = ledgers.flatMap((ledger) => ledger.snapshot());
+  for (const ledger of ledgers) mergeAll(ledger, updates);
+}
+
+function mergeAll(ledger: Ledger, updates: readonly LedgerEntry[]): void {
+  for (const update of updates) ledger.merge(update);
+}
+
+function assertAlike(ledgers: readonly Ledger[]): void {
+  for (const name of ["a", "b", "c"]) {
+    const [first = 0, ...rest] = ledgers.map((one) => one.value(name));
+    for (const value of rest) assert.ok(Math.abs(value - first) < TOLERANCE);
+  }
+}
+
+test("updates in any order, twice or lost, lead to the same values", () => {
+  fc.assert(
+    fc.property(
+      fc.array(charge, { maxLength: 40 }),
+      fc.infiniteStream(fc.nat()),
+      (charges, choices) => {
+        const ledgers = createLedgers();
+        const updates: LedgerEntry[] = [];
+        for (const { origin, team, amount } of charges) {
+          const ledger = ledgers[origin] as Ledger;
+          ledger.charge(team, amount);
+          updates.push(ledger.entry(team) as LedgerEntry);
+        }
+        // Each ledger sees a random part of the updates, some of them twice.
+        for (const ledger of ledgers) {
+          for (const update of updates) {
+            const times = (choices.next().value ?? 0) % 3;
+            for (let time = 0; time < times; time += 1) ledger.merge(update);
+          }
+        }
+        for (let round = 0; round < 3; round += 1) exchange(ledgers);
+        assertAlike(ledgers);
+      },
+    ),
+    { seed: SEED },
+  );
+});
+
+test("no charge is lost when counters are exchanged", () => {
+  fc.assert(
+    fc.property(
+      fc.array(
+        charge.filter(({ amount }) => amount >= 0),
+        { maxLength: 30 },
+      ),
+      (charges) => {
+        const ledgers = createLedgers();
+        // All know the team, so that no epoch changes.
+        for (const name of ["a", "b", "c"]) ledgers[0]?.charge(name, 1);
+        exchange(ledgers);
+        let expected = 1;
+        for (const { origin, team, amount } of charges) {
+          ledgers[origin]?.charge(team, amount);
+          if (team === "a") expected += amount;
+        }
+        exchange(ledgers);
+        for (const ledger of ledgers) {
+          assert.ok(Math.abs(ledger.value("a") - expected) < TOLERANCE);
+        }
+      },
+    ),
+    { seed: SEED },
+  );
+});
+
+test("a team that returns from idle has no banked credit", () => {
+  const ledger = new Ledger("origin");
+  ledger.setWaiting("busy", true);
+  ledger.charge("busy", 1_000);
+  assert.equal(ledger.leastServed(["busy"]), "busy");
+  ledger.setWaiting("idle", true);
+  assert.equal(ledger.value("idle"), 1_000);
+});
+
+test("the least served of the waiting teams goes first", () => {
+  const ledger = new Ledger("origin");
+  for (const [name, amount] of [
+    ["a", 30],
+    ["b", 10],
+    ["c", 20],
+  ] as const) {
+    ledger.setWaiting(name, true);
+    ledger.charge(name, amount);
+  }
+  assert.equal(ledger.leastServed(["a", "b", "c"]), "b");
+  assert.equal(ledger.leastServed(["a", "c"]), "c");
+  assert.equal(ledger.leastServed([]), null);
+});
+
+test("a debt from a partition is capped", () => {
+  const here = new Ledger("here");
+  const there = new Ledger("there");
+  here.setWaiting("a", true);
+  here.charge("a", 10);
+  here.setWaiting("b", true);
+  here.charge("b", 10);
+  there.setWaiting("a", true);
+  for (let count = 0; count < 10_000; count += 1) there.charge("a", 10);
+  mergeAll(here, there.snapshot());
+  const debt = here.standing("a") - here.standing("b");
+  assert.ok(debt > 0, "The debt is forgotten");
+  assert.ok(debt <= 50 * 10 + 10, `The debt is ${debt}`);
+});
+
+test("idle teams at or below the floor cost nothing", () => {
+  const ledger = new Ledger("origin");
+  for (let index = 0; index < 1_000; index += 1) {
+    ledger.setWaiting(`team-${index}`, true);
+    ledger.charge(`team-${index}`, 1);
+    ledger.setWaiting(`team-${index}`, false);
+  }
+  ledger.setWaiting("busy", true);
+  ledger.charge("busy", 50);
+  ledger.leastServed(["busy"]);
+  ledger.collect();
+  assert.equal(ledger.size, 1);
+});
--- /dev/null
+++ b/tests/scenarios/crashing_request.feature
@@ -0,0 +1,15 @@
+Feature: A request that crashes servers takes down two at the most
+
+  Scenario: Its caller sends it again and again
+    Given seed 91
+    And a desk fleet of 2 routers, 4 replicas and 4 slots
+    And crashed backend servers come back
+    When callers keep sending streams of 40 tokens, 6 at a time
+    And 20 more requests run
+    And a caller sends a crashing request 8 times through changing routers
+    And 20 more requests run
+    And the callers stop
+    Then at most 2 backend servers have crashed
+    And the last crashing request was refused at once as quarantined
+    And every other caller has its own whole answer or a truthful failure
+    And no request refused as not-run ever runs
--- /dev/null
+++ b/tests/scenarios/steps/crash_steps.ts
@@ -0,0 +1,70 @@
+/** Steps on requests that crash backend servers. */
+
+import assert from "node:assert/strict";
+import { sleep } from "../../../src/common/signal.ts";
+import type { StepRegistry } from "../../support/step_registry.ts";
+import type { World } from "../../support/world.ts";
+import { isTruthful } from "./outcome_steps.ts";
+
+const CRASHING_TEXT = "CRASH-ENGINE please";
+const WATCH_MS = 50;
+/** A caller that repeats waits this long between two tries. */
+const REPEAT_MS = 300;
+const AT_ONCE_MS = 1_000;
+
+/** Adds the steps. */
+export function addCrashSteps(steps: StepRegistry<World>): void {
+  steps.define("crashed backend servers come back", (world) => {
+    world.notes.set("crashes", 0);
+    const timer = setInterval(() => void restartCrashed(world), WATCH_MS);
+    world.onClose(() => clearInterval(timer));
+  });
+  steps.define(
+    "a caller sends a crashing request {int} times through changing routers",
+    async (world, times: number) => {
+      for (let index = 0; index < times; index += 1) {
+        const router = index % world.fleet.routers.length;
+        await world.call({ text: CRASHING_TEXT, tokens: 20, router }).ended;
+        await sleep(REPEAT_MS);
+      }
+    },
+  );
+  steps.define(
+    "at most {int} backend servers have crashed",
+    (world, limit: number) => {
+      const crashes = world.notes.get("crashes") ?? 0;
+      assert.ok(crashes > 0, "No backend server has crashed");
+      assert.ok(crashes <= limit, `${crashes} backend servers have crashed`);
+    },
+  );
+  steps.define(
+    "the last crashing request was refused at once as quarantined",
+    (world) => {
+      const last = world.calls.findLast(({ text }) => text === CRASHING_TEXT);
+      const { code, outcome, startedMs = 0, endedMs = 0 } = last?.result ?? {};
+      assert.equal(code, "quarantined");
+      assert.equal(outcome, "not-run");
+      assert.ok(endedMs - startedMs <= AT_ONCE_MS);
+      assert.match(last?.result?.retryAfter ?? "", /^\d+$/);
+    },
+  );
+  steps.define(
+    "every other caller has its own whole answer or a truthful failure",
+    async (world) => {
+      await world.settle();
+      const untold = world.calls
+        .filter(({ text }) => text !== CRASHING_TEXT)
+        .filter(({ result }) => result !== null && !isTruthful(result));
+      assert.equal(untold.length, 0);
+    },
+  );
+}
+
+async function restartCrashed(world: World): Promise<void> {
+  for (const backend of world.fleet.backends) {
+    if (backend.child.running) continue;
+    const crashes = world.notes.get("crashes") ?? 0;
+    world.notes.set("crashes", crashes + 1);
+    await backend.restart();
+  }
+}
--- a/tests/scenarios/steps/mod.ts
+++ b/tests/scenarios/steps/mod.ts
@@ -4,7 +4,9 @@
 import type { World } from "../../support/world.ts";
 import { addCallerSteps } from "./caller_steps.ts";
 import { addConfigurationSteps } from "./configuration_steps.ts";
+import { addCrashSteps } from "./crash_steps.ts";
 import { addFleetSteps } from "./fleet_steps.ts";
+import { addKeySteps } from "./key_steps.ts";
 import { addLinkSteps } from "./link_steps.ts";
 import { addOutcomeSteps } from "./outcome_steps.ts";
 import { addTimingSteps } from "./timing_steps.ts";
@@ -13,6 +15,8 @@
 export function createSteps(): StepRegistry<World> {
   const steps = new StepRegistry<World>();
   addFleetSteps(steps);
+  addCrashSteps(steps);
+  addKeySteps(steps);
   addLinkSteps(steps);
   addCallerSteps(steps);
   addConfigurationSteps(steps);
--- a/tests/scenarios/steps/outcome_steps.ts
+++ b/tests/scenarios/steps/outcome_steps.ts
@@ -64,7 +64,12 @@
 }
 
 /** After its head, HTTP leaves only a cut to say that a body isn't whole. */
-function isTruthful({ type, outcome, begun, body }: CallResult): boolean {
+export function isTruthful({
+  type,
+  outcome,
+  begun,
+  body,
+}: CallResult): boolean {
   if (type === "answered") return true;
   if (type === "wrong") return false;
   return outcome !== "" || (begun && !body.startsWith("data:"));
--- /dev/null
+++ b/tests/side_process/answer_buffer_test.ts
@@ -0,0 +1,44 @@
+/** Resumes give exactly the bytes that are missing. */
+
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import fc from "fast-check";
+import { AnswerBuffer } from "../../src/side_process/answer_buffer.ts";
+
+const SEED = 4714;
+
+test("a resume at any offset gives the rest, once and in order", () => {
+  fc.assert(
+    fc.property(
+      fc.array(fc.uint8Array({ minLength: 1, maxLength: 20 }), {
+        minLength: 1,
+        maxLength: 20,
+      }),
+      fc.nat(),
+      fc.nat(),
+      (pieces, acknowledge, resume) => {
+        const buffer = new AnswerBuffer();
+        for (const piece of pieces) buffer.append(Buffer.from(piece));
+        const whole = Buffer.concat(pieces.map((piece) => Buffer.from(piece)));
+        const acknowledged = acknowledge % (whole.length + 1);
+        buffer.acknowledge(acknowledged);
+        const from =
+          acknowledged + (resume % (whole.length - acknowledged + 1));
+        const rest = buffer.from(from) ?? [];
+        assert.deepEqual(
+          Buffer.concat(rest.map(({ bytes }) => bytes)),
+          whole.subarray(from),
+        );
+        assert.equal(rest[0]?.offset ?? from, from);
+      },
+    ),
+    { seed: SEED },
+  );
+});
+
+test("bytes that were acknowledged can't be had again", () => {
+  const buffer = new AnswerBuffer();
+  buffer.append(Buffer.from("abcdef"));
+  buffer.acknowledge(4);
+  assert.equal(buffer.from(2), null);
+});
--- a/tests/support/call_record.ts
+++ b/tests/support/call_record.ts
@@ -4,6 +4,7 @@
 
 /** One call; `result` is null until it has ended. */
 export interface CallRecord {
+  readonly text: string;
   readonly bodyHash: string;
   readonly team: string;
   readonly idempotent: boolean;
--- a/tests/support/world.ts
+++ b/tests/support/world.ts
@@ -45,6 +45,7 @@
   #fleet: Fleet | null = null;
   #texts = 0;
   #sending: { stop: () => void; done: Promise<void> } | null = null;
+  readonly #closers: (() => void)[] = [];
   /** Notes that later steps read. */
   readonly notes = new Map<string, number>();
 
@@ -94,6 +95,7 @@
     const sent =
       plan?.type === "plain" ? sendPlain(request) : sendChat(request);
     const record: CallRecord = {
+      text,
       bodyHash: sent.bodyHash,
       team,
       idempotent: options.idempotent ?? plan?.type === "model",
@@ -137,6 +139,11 @@
     await Promise.all(this.calls.map(({ ended }) => ended));
   }
 
+  /** Registers what a step started and must end. */
+  onClose(closer: () => void): void {
+    this.#closers.push(closer);
+  }
+
   /** Everything that ran at any backend server, also before a crash. */
   executions(): Execution[] {
     return this.fleet.backends.flatMap(({ logFile }) => {
@@ -150,6 +157,7 @@
 
   /** Ends everything; shows the logs of a scenario that failed. */
   async close(failed: boolean): Promise<void> {
+    for (const closer of this.#closers) closer();
     if (this.#fleet === null) return;
     this.#sending?.stop();
     if (failed) this.#showLogs(this.#fleet);
