--- /dev/null
+++ b/bench/control.ts
@@ -0,0 +1,130 @@
+/** Control traffic of the product's processes. */
+
+import type { TrafficTotals } from "../src/transport/mod.ts";
+import type { Member } from "../tools/fleet/fleet.ts";
+import { type Fleet, OPERATOR_KEY } from "../tools/fleet/fleet.ts";
+
+/** What one process had sent at one moment. */
+interface MemberReading {
+  readonly role: string;
+  readonly atMs: number;
+  readonly totals: TrafficTotals;
+  readonly messages: Readonly<Record<string, number>>;
+  readonly platformCalls: number;
+  readonly cpuSeconds: number;
+  readonly residentBytes: number;
+}
+
+/** What all processes had sent. */
+export type ControlReading = ReadonlyMap<string, MemberReading>;
+
+/** Rates of one role, per process. */
+export interface RoleFigures {
+  readonly processes: number;
+  readonly bytesPerSecond: number;
+  readonly messagesPerSecond: number;
+  readonly platformCallsPerSecond: number;
+  readonly cpuShare: number;
+  readonly residentMegabytes: number;
+  readonly messagesByType: Readonly<Record<string, number>>;
+}
+
+/** Rates by role. */
+export type ControlFigures = Readonly<Record<string, RoleFigures>>;
+
+/** Reads every process; null for a baseline. */
+export async function controlReading(
+  fleet: Fleet | null,
+): Promise<ControlReading | null> {
+  if (fleet === null) return null;
+  const members = [...fleet.routers, ...fleet.sideProcesses];
+  const readings = await Promise.all(
+    members.map(async (member): Promise<[string, MemberReading]> => {
+      return [member.instance.name, await read(fleet, member)];
+    }),
+  );
+  return new Map(readings);
+}
+
+/** Returns the rates between two readings. */
+export function controlFigures(
+  before: ControlReading | null,
+  after: ControlReading | null,
+): ControlFigures | null {
+  if (before === null || after === null) return null;
+  const roles = new Map<string, RoleFigures[]>();
+  for (const [name, end] of after) {
+    const start = before.get(name);
+    if (start === undefined) continue;
+    const own = roles.get(end.role) ?? [];
+    own.push(between(start, end));
+    roles.set(end.role, own);
+  }
+  return Object.fromEntries(
+    [...roles].map(([role, figures]) => [role, mean(figures)]),
+  );
+}
+
+async function read(fleet: Fleet, member: Member): Promise<MemberReading> {
+  const status = await fleet.status(member);
+  const response = await fetch(`${member.adminUrl}/metrics`, {
+    headers: { authorization: `Bearer ${OPERATOR_KEY}` },
+  });
+  const text = await response.text();
+  const gauge = (name: string) =>
+    Number(new RegExp(`^${name} (.+)$`, "m").exec(text)?.[1] ?? 0);
+  return {
+    role: member.instance.role,
+    atMs: performance.now(),
+    totals: status?.traffic as TrafficTotals,
+    messages: status?.messages as Record<string, number>,
+    platformCalls: gauge("oriole_platform_calls"),
+    cpuSeconds: gauge("oriole_cpu_seconds"),
+    residentBytes: gauge("oriole_resident_bytes"),
+  };
+}
+
+function between(start: MemberReading, end: MemberReading): RoleFigures {
+  const seconds = (end.atMs - start.atMs) / 1_000;
+  const rate = (a: number, b: number) => (b - a) / seconds;
+  const types = Object.keys(end.messages);
+  return {
+    processes: 1,
+    bytesPerSecond: rate(start.totals.controlBytes, end.totals.controlBytes),
+    messagesPerSecond: rate(
+      start.totals.controlMessages,
+      end.totals.controlMessages,
+    ),
+    platformCallsPerSecond: rate(start.platformCalls, end.platformCalls),
+    cpuShare: rate(start.cpuSeconds, end.cpuSeconds),
+    residentMegabytes: end.residentBytes / 2 ** 20,
+    messagesByType: Object.fromEntries(
+      types.map((type) => [
+        type,
+        rate(start.messages[type] ?? 0, end.messages[type] ?? 0),
+      ]),
+    ),
+  };
+}
+
+function mean(figures: readonly RoleFigures[]): RoleFigures {
+  const average = (value: (one: RoleFigures) => number) =>
+    figures.reduce((sum, one) => sum + value(one), 0) / figures.length;
+  const types = new Set(
+    figures.flatMap((one) => Object.keys(one.messagesByType)),
+  );
+  return {
+    processes: figures.length,
+    bytesPerSecond: average((one) => one.bytesPerSecond),
+    messagesPerSecond: average((one) => one.messagesPerSecond),
+    platformCallsPerSecond: average((one) => one.platformCallsPerSecond),
+    cpuShare: average((one) => one.cpuShare),
+    residentMegabytes: average((one) => one.residentMegabytes),
+    messagesByType: Object.fromEntries(
+      [...types].map((type) => [
+        type,
+        average((one) => one.messagesByType[type] ?? 0),
+      ]),
+    ),
+  };
+}
--- /dev/null
+++ b/bench/main.ts
@@ -0,0 +1,75 @@
+/** `npm run bench`: measurements with real processes; JSON and a table. */
+
+import { Command } from "commander";
+import { table } from "../src/report/mod.ts";
+import { close } from "../tools/load/caller.ts";
+import { POLICIES } from "./baselines/policy.ts";
+import { type ContentionFigures, measureContention } from "./contention.ts";
+import type { Design } from "./target.ts";
+import { contended, type DeploymentName } from "./workloads.ts";
+
+interface ContentionCommandOptions {
+  readonly deployment: DeploymentName;
+  readonly designs: string;
+  readonly seed: string;
+  readonly seconds: string;
+  readonly delayMs: string;
+  readonly json?: boolean;
+}
+
+const program = new Command("bench").description(
+  "Measure the fleet on one machine, with stand-in engines",
+);
+contentionCommand("fairness", ["oriolerouter", ...POLICIES]);
+contentionCommand("utilisation", ["oriolerouter", ...POLICIES]);
+contentionCommand("control", ["oriolerouter"]);
+await program.parseAsync();
+await close();
+
+function contentionCommand(name: string, designs: readonly Design[]): void {
+  program
+    .command(name)
+    .description("Teams contend for a service; several designs in one run")
+    .option("--deployment <name>", "desk or shop", "desk")
+    .option("--designs <names>", "designs, by commas", designs.join(","))
+    .option("--seed <number>", "seed of the load", "1")
+    .option("--seconds <number>", "length of the load", "12")
+    .option("--delay-ms <number>", "one-way delay to side processes", "0")
+    .option("--json", "print JSON only")
+    .action(contention);
+}
+
+async function contention(options: ContentionCommandOptions): Promise<void> {
+  const workload = contended(options.deployment, Number(options.delayMs));
+  const all: ContentionFigures[] = [];
+  for (const design of options.designs.split(",") as Design[]) {
+    const seed = Number(options.seed);
+    const durationMs = Number(options.seconds) * 1_000;
+    const settings = { design, durationMs, seed };
+    all.push(await measureContention(workload, settings));
+  }
+  console.log(options.json ? JSON.stringify(all, null, 2) : text(all));
+}
+
+function text(all: readonly ContentionFigures[]): string {
+  const header = [
+    ...["DESIGN", "GAP", "UTILISATION", "ANSWERED", "PER SECOND", "WRONG"],
+    ...["LIGHT P95 MS", "ROUTER B/S", "SIDE B/S", "ROUTER CPU", "SIDE CPU"],
+  ];
+  const fixed = (value: number | null | undefined, digits: number) =>
+    value === null || value === undefined ? "-" : value.toFixed(digits);
+  const rows = all.map((one) => [
+    one.design,
+    one.gap.toFixed(1),
+    fixed(one.utilisation === null ? null : one.utilisation * 100, 1),
+    `${one.answered}/${one.sent}`,
+    one.completedPerSecond.toFixed(1),
+    String(one.wrong),
+    fixed(one.lightFirstTokenP95Ms, 0),
+    fixed(one.control?.router?.bytesPerSecond, 0),
+    fixed(one.control?.["side-process"]?.bytesPerSecond, 0),
+    fixed(one.control?.router?.cpuShare, 2),
+    fixed(one.control?.["side-process"]?.cpuShare, 2),
+  ]);
+  return table([header, ...rows]);
+}
--- a/stand_ins/engine/engine.ts
+++ b/stand_ins/engine/engine.ts
@@ -37,6 +37,8 @@
   readonly #cancelledEarly = new Set<string>();
   #queue: Job[] = [];
   #batch: Job[] = [];
+  /** Each change of the number of running requests, with its time. */
+  readonly #occupancy: [atMs: number, running: number][] = [];
   #timer: NodeJS.Timeout | null = null;
   #nextStepMs = 0;
   #reportedLoad = { running: 0, queued: 0 };
@@ -63,6 +65,8 @@
       sendJson(response, 200, this.#reportedLoad);
     } else if (url.pathname === "/executions") {
       sendJson(response, 200, this.#log.executions);
+    } else if (url.pathname === "/occupancy") {
+      sendJson(response, 200, this.#occupancy);
     } else if (rest === "/answer") {
       this.#resume(name, Number(url.searchParams.get("offset")), response);
     } else if (id !== undefined && request.method === "DELETE") {
@@ -171,6 +175,14 @@
       this.#batch.push(job);
     }
     for (const job of [...this.#batch]) this.#advance(job);
+    this.#note();
+  }
+
+  #note(): void {
+    const running = this.#batch.length;
+    if (this.#occupancy.at(-1)?.[1] === running) return;
+    const atMs = performance.timeOrigin + performance.now();
+    this.#occupancy.push([atMs, running]);
   }
 
   #advance(job: Job): void {
