--- a/bench/control.ts
+++ b/bench/control.ts
@@ -5,7 +5,7 @@
 import { type Fleet, OPERATOR_KEY } from "../tools/fleet/fleet.ts";
 
 /** What one process had sent at one moment. */
-interface MemberReading {
+export interface MemberReading {
   readonly role: string;
   readonly atMs: number;
   readonly totals: TrafficTotals;
@@ -40,7 +40,7 @@
   const members = [...fleet.routers, ...fleet.sideProcesses];
   const readings = await Promise.all(
     members.map(async (member): Promise<[string, MemberReading]> => {
-      return [member.instance.name, await read(fleet, member)];
+      return [member.instance.name, await readMember(fleet, member)];
     }),
   );
   return new Map(readings);
@@ -65,7 +65,11 @@
   );
 }
 
-async function read(fleet: Fleet, member: Member): Promise<MemberReading> {
+/** Reads one process. */
+export async function readMember(
+  fleet: Fleet,
+  member: Member,
+): Promise<MemberReading> {
   const status = await fleet.status(member);
   const response = await fetch(`${member.adminUrl}/metrics`, {
     headers: { authorization: `Bearer ${OPERATOR_KEY}` },
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -5,6 +5,9 @@
 import { close } from "../tools/load/caller.ts";
 import { POLICIES } from "./baselines/policy.ts";
 import { type ContentionFigures, measureContention } from "./contention.ts";
+import { measureLatency } from "./latency.ts";
+import { measureMemory } from "./memory.ts";
+import { measureSlopes, type Slope } from "./slopes.ts";
 import type { Design } from "./target.ts";
 import { contended, type DeploymentName } from "./workloads.ts";
 
@@ -23,6 +26,28 @@
 contentionCommand("fairness", ["oriolerouter", ...POLICIES]);
 contentionCommand("utilisation", ["oriolerouter", ...POLICIES]);
 contentionCommand("control", ["oriolerouter"]);
+program
+  .command("latency")
+  .description("Time added to the first token; requests a router carries")
+  .option("--seed <number>", "seed of the load", "1")
+  .option("--seconds <number>", "length of the load", "15")
+  .action(async ({ seed, seconds }: { seed: string; seconds: string }) => {
+    const durationMs = Number(seconds) * 1_000;
+    show(await measureLatency({ seed: Number(seed), durationMs }));
+  });
+program
+  .command("memory")
+  .description("Resident memory at rest and with 1,000 streams")
+  .action(async () => show(await measureMemory()));
+program
+  .command("slopes")
+  .description("Cost per connection, team, grant, update and change")
+  .option("--json", "print JSON only")
+  .action(async ({ json }: { json?: boolean }) => {
+    const slopes = await measureSlopes();
+    if (json) show(slopes);
+    else console.log(slopesText(slopes));
+  });
 await program.parseAsync();
 await close();
 
@@ -39,6 +64,29 @@
     .action(contention);
 }
 
+function slopesText(slopes: readonly Slope[]): string {
+  const header = [
+    "FIGURE",
+    "PER",
+    "UNIT",
+    "SIZES",
+    "VALUES",
+    "SLOPE",
+    "AT 0",
+    "R2",
+  ];
+  const round = (value: number) => String(Number(value.toPrecision(3)));
+  const rows = slopes.map(({ name, of, unit, sizes, values, fit }) => [
+    ...[name, of, unit, sizes.join(" "), values.map(round).join(" ")],
+    ...[fit.slope, fit.intercept, fit.r2].map(round),
+  ]);
+  return table([header, ...rows]);
+}
+
+function show(figures: object): void {
+  console.log(JSON.stringify(figures, null, 2));
+}
+
 async function contention(options: ContentionCommandOptions): Promise<void> {
   const workload = contended(options.deployment, Number(options.delayMs));
   const all: ContentionFigures[] = [];
--- a/src/cli/explain_command.ts
+++ b/src/cli/explain_command.ts
@@ -7,7 +7,7 @@
   type Document,
   explain,
   type RequestFacts,
-  read,
+  readDocument,
   type Trial,
   validate,
 } from "../configuration/mod.ts";
@@ -74,29 +74,26 @@
   return `+ ${rule.name}: matches; ${JSON.stringify(rule.then)}`;
 }
 
-async function load(options: ExplainOptions): Promise<Document> {
-  const text = await loadText(options);
-  return validate(text).match(
-    (document) => document,
-    (findings) => fail(ExitCode.USAGE, format(findings)),
-  );
-}
-
-async function loadText({ file, platform }: ExplainOptions): Promise<string> {
+async function load({ file, platform }: ExplainOptions): Promise<Document> {
   if (file !== undefined) {
-    return await readFile(file, "utf8").catch(() =>
+    const text = await readFile(file, "utf8").catch(() =>
       fail(ExitCode.USAGE, `Can't read ${file}`),
     );
+    return validate(text).match(
+      (document) => document,
+      (findings) => fail(ExitCode.USAGE, format(findings)),
+    );
   }
   const url = platform ?? process.env.ORIOLE_PLATFORM;
   if (url === undefined) {
     fail(ExitCode.USAGE, "Give --file or --platform");
   }
   const store = new ObjectStore(url);
-  const stored = await read(store);
+  const stored = await readDocument(store);
   await store.close();
   return stored.match(
-    ({ record }) => record.text,
+    ({ document }) =>
+      document ?? fail(ExitCode.FAILED, "No configuration is stored"),
     ({ type }) => fail(ExitCode.UNAVAILABLE, `Can't read the store: ${type}`),
   );
 }
--- /dev/null
+++ b/src/common/error_message.ts
@@ -0,0 +1,6 @@
+/** What a thrown value says. */
+
+/** Returns the message of an error, or the value as text. */
+export function messageOf(thrown: unknown): string {
+  return thrown instanceof Error ? thrown.message : String(thrown);
+}
--- a/src/configuration/active.ts
+++ b/src/configuration/active.ts
@@ -4,6 +4,8 @@
 import type { Clock } from "../common/clock.ts";
 import { format } from "../common/finding.ts";
 import { logger } from "../common/log.ts";
+import { type ChunkList, join } from "./chunk.ts";
+import { ChunkCache } from "./chunk_cache.ts";
 import type {
   Contract,
   Document,
@@ -13,7 +15,7 @@
   Target,
   Team,
 } from "./document.ts";
-import { validate } from "./validation.ts";
+import { check } from "./validation.ts";
 
 const log = logger("configuration");
 
@@ -31,9 +33,11 @@
 /** Holds the highest version seen; a lower one is never adopted. */
 export class ActiveConfiguration {
   readonly #clock: Clock;
+  /** Chunks in force, and those of versions on their way. */
+  readonly chunks = new ChunkCache();
   readonly #listeners = new Set<VersionListener>();
   #version = 0;
-  #text = "";
+  #list: ChunkList = { names: [] };
   #document = EMPTY;
   #adoptedAtMs = 0;
   #teamByKeyHash = new Map<string, Team>();
@@ -50,9 +54,9 @@
     return this.#version;
   }
 
-  /** The document as JSON text. */
-  get text(): string {
-    return this.#text;
+  /** Names of the document's chunks. */
+  get list(): ChunkList {
+    return this.#list;
   }
 
   /** Wall time at which the version came into force here. */
@@ -96,17 +100,22 @@
     return this.contract(teamName)?.meter ?? null;
   }
 
-  /** Adopts a version if it is higher; returns whether it did. */
-  adopt(version: number, text: string): boolean {
+  /** Adopts a version if it is higher and whole; returns whether it did. */
+  adopt(version: number, list: ChunkList): boolean {
     if (version <= this.#version) return false;
-    const document = validate(text);
+    const document = join(list, this.chunks.texts);
     if (document.isErr()) {
-      const findings = format(document.error);
-      log.error(`Refused version ${version}: ${findings}`);
+      log.error(`Version ${version} lacks chunk ${document.error}`);
+      return false;
+    }
+    const findings = check(document.value);
+    if (findings.length > 0) {
+      log.error(`Refused version ${version}: ${format(findings)}`);
       return false;
     }
     this.#version = version;
-    this.#text = text;
+    this.#list = list;
+    this.chunks.keepOnly(list);
     this.#adoptedAtMs = this.#clock.wallMs();
     this.#index(document.value);
     log.info(`Version ${version} is in force`);
--- /dev/null
+++ b/src/configuration/chunk.ts
@@ -0,0 +1,95 @@
+/**
+ * A document in chunks that are named by their content.
+ *
+ * A change of one team changes one chunk of teams, so that spreading it costs
+ * a list of names and one chunk, whatever the number of teams. Chunks end at
+ * teams that a hash chooses: an insertion moves no other boundary.
+ */
+
+import { createHash } from "node:crypto";
+import { err, ok, type Result } from "neverthrow";
+import { Schema } from "../common/schema.ts";
+import type { Document, Team } from "./document.ts";
+
+/** Teams in a chunk, on average. */
+const TEAMS_PER_CHUNK = 64;
+const NAME_CHARACTERS = 22;
+
+/** Names of a document's chunks: the first holds all but the teams. */
+export interface ChunkList {
+  readonly names: readonly string[];
+}
+
+/** A document cut into chunks. */
+export interface ChunkedDocument {
+  readonly list: ChunkList;
+  /** Text of each chunk, by name. */
+  readonly texts: ReadonlyMap<string, string>;
+}
+
+type Head = Omit<Document, "teams">;
+
+/** Schema of a list of names. */
+export const chunkListSchema = new Schema<ChunkList>({
+  type: "object",
+  required: ["names"],
+  additionalProperties: false,
+  properties: {
+    names: {
+      type: "array",
+      minItems: 1,
+      items: { type: "string", maxLength: NAME_CHARACTERS },
+    },
+  },
+});
+
+/** Cuts a document. */
+export function cut({ teams, ...head }: Document): ChunkedDocument {
+  const texts = new Map<string, string>();
+  const names = [head, ...groups(teams)].map((part) => {
+    const text = JSON.stringify(part);
+    const name = nameOf(text);
+    texts.set(name, text);
+    return name;
+  });
+  return { list: { names }, texts };
+}
+
+/** Puts a document together, or names the first chunk that is missing. */
+export function join(
+  { names }: ChunkList,
+  texts: ReadonlyMap<string, string>,
+): Result<Document, string> {
+  const parts: unknown[] = [];
+  for (const name of names) {
+    const text = texts.get(name);
+    if (text === undefined) return err(name);
+    parts.push(JSON.parse(text));
+  }
+  const [head, ...teams] = parts as [Head, ...Team[][]];
+  return ok({ ...head, teams: teams.flat() });
+}
+
+/** Returns the name that a chunk's text must have. */
+export function nameOf(text: string): string {
+  const hash = createHash("sha256").update(text).digest("base64url");
+  return hash.slice(0, NAME_CHARACTERS);
+}
+
+function groups(teams: readonly Team[]): Team[][] {
+  const found: Team[][] = [];
+  let group: Team[] = [];
+  for (const team of teams) {
+    group.push(team);
+    if (!endsGroup(team.name)) continue;
+    found.push(group);
+    group = [];
+  }
+  if (group.length > 0) found.push(group);
+  return found;
+}
+
+function endsGroup(name: string): boolean {
+  const hash = createHash("sha256").update(name).digest();
+  return hash.readUInt32BE(0) % TEAMS_PER_CHUNK === 0;
+}
--- a/src/configuration/document.ts
+++ b/src/configuration/document.ts
@@ -5,6 +5,8 @@
   readonly name: string;
   /** Model engines speak chat completions; plain services any HTTP. */
   readonly type: "model" | "plain";
+  /** Versions that rules can send to; each has its own backend servers. */
+  readonly versions?: readonly string[];
   /** Whether requests are idempotent when nothing says otherwise. */
   readonly idempotent: boolean;
   /** Largest request body in bytes. */
@@ -71,12 +73,17 @@
   readonly deadlineMs?: number;
   readonly idempotent?: boolean;
   readonly maxWaitingPerRouter?: number;
+  readonly maxInProgressPerRouter?: number;
 }
 
 /** What a rule does with a request. */
 export type Then =
   | ({ readonly type: "admit" } & Treatment)
-  | ({ readonly type: "send"; readonly service: string } & Treatment)
+  | ({
+      readonly type: "send";
+      readonly service: string;
+      readonly version?: string;
+    } & Treatment)
   | {
       readonly type: "refuse";
       readonly status: number;
@@ -102,6 +109,11 @@
   readonly objective: number;
 }
 
+/** Name under which the backend servers of a version are listed. */
+export function versionedName(service: string, version: string): string {
+  return `${service}@${version}`;
+}
+
 /** The whole document. */
 export interface Document {
   readonly services: readonly Service[];
--- a/src/configuration/document_schema.ts
+++ b/src/configuration/document_schema.ts
@@ -38,13 +38,16 @@
   return { type: "array", items };
 }
 
-const service = object({
-  name,
-  type: { enum: ["model", "plain"] },
-  idempotent: flag,
-  maxBodyBytes: { type: "integer", minimum: 1, maximum: 8 * 1024 * 1024 },
-  deadlineMs: bound,
-});
+const service = object(
+  {
+    name,
+    type: { enum: ["model", "plain"] },
+    idempotent: flag,
+    maxBodyBytes: { type: "integer", minimum: 1, maximum: 8 * 1024 * 1024 },
+    deadlineMs: bound,
+  },
+  { versions: names },
+);
 
 const meter = union([
   object({
@@ -93,11 +96,15 @@
   deadlineMs: bound,
   idempotent: flag,
   maxWaitingPerRouter: bound,
+  maxInProgressPerRouter: bound,
 };
 
 const then = union([
   object({ type: { const: "admit" } }, treatment),
-  object({ type: { const: "send" }, service: name }, treatment),
+  object(
+    { type: { const: "send" }, service: name },
+    { ...treatment, version: name },
+  ),
   object(
     {
       type: { const: "refuse" },
--- a/src/configuration/meaning.ts
+++ b/src/configuration/meaning.ts
@@ -83,13 +83,25 @@
     const place = `${path}/when/service/${index}`;
     found.push({ path: place, message: `Service "${service}" is not known` });
   });
-  if (then.type === "send" && !services.has(then.service)) {
-    const message = `Service "${then.service}" is not known`;
-    found.push({ path: `${path}/then/service`, message });
-  }
+  if (then.type === "send") found.push(...sendRemarks(document, then, path));
   return found;
 }
 
+function sendRemarks(
+  { services }: Document,
+  { service, version }: { readonly service: string; readonly version?: string },
+  path: string,
+): Remark[] {
+  const known = services.find(({ name }) => name === service);
+  if (known === undefined) {
+    const message = `Service "${service}" is not known`;
+    return [{ path: `${path}/then/service`, message }];
+  }
+  if (version === undefined || known.versions?.includes(version)) return [];
+  const message = `Version "${version}" of "${service}" is not known`;
+  return [{ path: `${path}/then/version`, message }];
+}
+
 function unreachable(rules: readonly Rule[]): Remark[] {
   return rules.flatMap((rule, index) => {
     const earlier = rules
--- a/src/configuration/mod.ts
+++ b/src/configuration/mod.ts
@@ -7,16 +7,17 @@
   read,
   type VersionedRecord,
 } from "./apply.ts";
-export type {
-  Contract,
-  Document,
-  Meter,
-  Rule,
-  Service,
-  Target,
-  Team,
-  Then,
-  Treatment,
+export {
+  type Contract,
+  type Document,
+  type Meter,
+  type Rule,
+  type Service,
+  type Target,
+  type Team,
+  type Then,
+  type Treatment,
+  versionedName,
 } from "./document.ts";
 export { decide, explain, type RequestFacts, type Trial } from "./rule.ts";
 export {
@@ -27,6 +28,7 @@
   type SideProcessSettings,
   sideProcessSettings,
 } from "./settings.ts";
-export * as spread from "./spread.ts";
+export { ConfigurationSpread } from "./spread.ts";
+export { readDocument, type StoredDocument } from "./stored_document.ts";
 export { validate } from "./validation.ts";
 export { ConfigurationWatcher } from "./watcher.ts";
--- a/src/configuration/validation.ts
+++ b/src/configuration/validation.ts
@@ -7,6 +7,14 @@
 import { JsonText } from "./json_text.ts";
 import { remarks } from "./meaning.ts";
 
+/** Returns every finding of a document that is parsed already. */
+export function check(document: unknown): Finding[] {
+  return documentSchema.check(document).match(
+    (checked) => remarks(checked).map((remark) => ({ ...remark, line: null })),
+    (findings) => findings,
+  );
+}
+
 /** Returns the document in the text, or every finding with its line. */
 export function validate(text: string): Result<Document, Finding[]> {
   return JsonText.parse(text).andThen((json) =>
--- a/src/configuration/watcher.ts
+++ b/src/configuration/watcher.ts
@@ -9,7 +9,12 @@
   rank,
 } from "../platform/mod.ts";
 import type { ActiveConfiguration } from "./active.ts";
-import { CONFIGURATION_OBJECT, recordSchema } from "./record.ts";
+import {
+  CONFIGURATION_OBJECT,
+  type ConfigurationRecord,
+  recordSchema,
+} from "./record.ts";
+import { fetchChunks } from "./stored_document.ts";
 
 const log = logger("configuration");
 
@@ -83,6 +88,18 @@
       .some(({ name }) => name === instance);
   }
 
+  async #adopt(version: number, record: ConfigurationRecord): Promise<boolean> {
+    const { chunks } = this.#active;
+    const fetched = await fetchChunks(this.#store, record, { chunks });
+    if (fetched.isErr()) {
+      log.debug(describe(fetched.error));
+      return false;
+    }
+    const { names } = record;
+    this.#active.adopt(version, { names });
+    return this.#active.version >= version;
+  }
+
   async #read(watch: boolean): Promise<boolean> {
     const after = this.#active.version;
     const stored = await this.#store.watch(CONFIGURATION_OBJECT, {
@@ -99,7 +116,6 @@
       log.error("The stored configuration is not readable");
       return false;
     }
-    this.#active.adopt(stored.value.version, record.value.text);
-    return true;
+    return await this.#adopt(stored.value.version, record.value);
   }
 }
--- a/src/fairness/estimator.ts
+++ b/src/fairness/estimator.ts
@@ -32,14 +32,14 @@
     if (meter.type === "completed") {
       return meter.weightByKind[kind] ?? meter.defaultWeight;
     }
-    if (costHint > 0) {
-      return costHint * (this.#means.get(`hint\n${team}`) ?? 1);
-    }
-    return (
+    const learned =
       this.#means.get(`${team}\n${kind}`) ??
       this.#means.get(team) ??
-      this.meanCost
-    );
+      this.#overall;
+    if (costHint === 0) return learned ?? FIRST_ESTIMATE;
+    const hinted = costHint * Math.exp(this.#means.get(hintKey(team)) ?? 0);
+    // A rough hint is tempered by what such requests have cost.
+    return learned === null ? hinted : Math.sqrt(hinted * learned);
   }
 
   /** Learns from a request that ended. */
@@ -47,7 +47,9 @@
     this.#overall = blend(this.#overall, cost);
     this.#learn(`${team}\n${kind}`, cost);
     this.#learn(team, cost);
-    if (costHint > 0) this.#learn(`hint\n${team}`, cost / costHint);
+    if (costHint > 0 && cost > 0) {
+      this.#learn(hintKey(team), Math.log(cost / costHint));
+    }
   }
 
   #learn(key: string, sample: number): void {
@@ -60,6 +62,11 @@
   }
 }
 
+/** Under this, the mean logarithm of cost by hint is kept. */
+function hintKey(team: string): string {
+  return `hint\n${team}`;
+}
+
 function blend(mean: number | null, sample: number): number {
   return mean === null ? sample : mean + LEARNING_RATE * (sample - mean);
 }
--- a/src/fairness/ledger.ts
+++ b/src/fairness/ledger.ts
@@ -6,7 +6,7 @@
  * by the highest, so updates may come in any order, twice, or not at all.
  */
 
-import type { LedgerEntry } from "../protocol/mod.ts";
+import type { LedgerEntry } from "./ledger_entry.ts";
 
 /** Origins an entry may name before its counters are folded into its level. */
 const ORIGIN_LIMIT = 64;
--- a/src/fairness/spread.ts
+++ b/src/fairness/spread.ts
@@ -1,8 +1,8 @@
 /** Chooses which teams' counters to send to peers, and when. */
 
 import type { Clock } from "../common/clock.ts";
-import type { LedgerEntry } from "../protocol/mod.ts";
 import type { Ledger } from "./ledger.ts";
+import type { LedgerEntry } from "./ledger_entry.ts";
 
 /** A change of "waiting" must last this long before it is sent alone. */
 const WAITING_SETTLED_MS = 500;
--- a/src/platform/instance_list.ts
+++ b/src/platform/instance_list.ts
@@ -3,6 +3,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { request } from "undici";
 import type { Clock } from "../common/clock.ts";
+import { messageOf } from "../common/error_message.ts";
 import { Schema } from "../common/schema.ts";
 import { sleep } from "../common/signal.ts";
 
@@ -66,7 +67,7 @@
     if (checked.isErr()) return err("Instance list is not valid");
     return ok(checked.value.instances);
   } catch (error) {
-    return err(error instanceof Error ? error.message : String(error));
+    return err(messageOf(error));
   }
 }
 
--- a/src/platform/object_store.ts
+++ b/src/platform/object_store.ts
@@ -2,6 +2,7 @@
 
 import { err, ok, type Result } from "neverthrow";
 import { Agent, request } from "undici";
+import { messageOf } from "../common/error_message.ts";
 import type { StoreError } from "./store_error.ts";
 
 /** Longest wait for an answer, but for watches. */
@@ -66,6 +67,15 @@
     return await this.#write(name, value, { "if-match": `"${expected}"` });
   }
 
+  /** Deletes an object; one that is gone already counts as deleted. */
+  async remove(name: ObjectName): Promise<Result<void, StoreError>> {
+    const removed = await this.#call(name, { method: "DELETE" });
+    if (removed.isOk() || removed.error.type === "not-found") {
+      return ok(undefined);
+    }
+    return err(removed.error);
+  }
+
   /** Waits for a version above `after`; null when none came in time. */
   async watch(
     name: ObjectName,
@@ -116,7 +126,7 @@
       const text = await response.body.text();
       return interpret(response.statusCode, response.headers, text);
     } catch (error) {
-      const sentence = error instanceof Error ? error.message : String(error);
+      const sentence = messageOf(error);
       if (method === "GET") {
         return err(unavailable(sentence, DEFAULT_RETRY_MS));
       }
--- a/src/protocol/field_numbers.ts
+++ b/src/protocol/field_numbers.ts
@@ -5,15 +5,22 @@
  * a change of order is a change of protocol version.
  */
 const FIELD_NAMES = [
-  ...["type", "attempt", "team", "offset", "bytes", "count", "oldestAgeMs"],
-  ...["grant", "expiresMs", "waiting", "free", "slots", "nextMs"],
-  ...["configurationVersion", "request", "kind", "method", "path", "headers"],
+  ...["type", "attempt", "team", "offset", "bytes", "teams", "attempts"],
+  ...["grant", "waiting", "free", "slots", "nextMs", "busy"],
+  ...["configurationVersion", "kind", "method", "path", "headers"],
   ...["body", "idempotent", "idempotencyKey", "remainingMs", "costHint"],
   ...["head", "code", "retryAfterMs", "status", "outcome", "sentence"],
-  ...["entries", "epoch", "level", "origin", "charged", "refunded", "query"],
+  ...["entries", "query"],
   ...["key", "bodyHash", "state", "leaseMs", "answer", "records"],
   ...["runner", "memoryMs", "losses", "crash"],
-  ...["fingerprints", "fingerprint", "version", "text", "protocolVersion"],
+  ...[
+    "fingerprints",
+    "fingerprint",
+    "version",
+    "names",
+    "texts",
+    "protocolVersion",
+  ],
   ...["role", "instance", "incarnation", "availabilityZone", "service"],
   ...["challenge", "proof"],
 ] as const;
--- a/src/protocol/message.ts
+++ b/src/protocol/message.ts
@@ -1,8 +1,9 @@
 /**
  * Messages between the system's own processes, each declared once.
  *
- * An `attempt` names one try of one request at one side process; its name is
- * never used again, so a late message can't be taken for another's.
+ * An `attempt` names one try of one request at one side process. It is unique
+ * for an incarnation of a router and never used again, so that a late message
+ * can't be taken for another's.
  */
 
 /** Version of the protocol; peers of another version are refused. */
@@ -35,6 +36,8 @@
 export interface Heartbeat {
   readonly type: "heartbeat";
   readonly nextMs: number;
+  /** Whether the sender waits for something; the receiver beats as fast. */
+  readonly busy: boolean;
   readonly configurationVersion: number;
 }
 
@@ -48,20 +51,36 @@
   readonly type: "configuration-request";
 }
 
-/** A configuration, whole. */
+/** A configuration by the names of its chunks. */
 export interface Configuration {
   readonly type: "configuration";
   readonly version: number;
-  /** The document as JSON text. */
-  readonly text: string;
+  readonly names: readonly string[];
 }
 
-/** Says how many requests of a team wait at a router. */
+/** Asks for chunks of a configuration. */
+export interface ChunksRequest {
+  readonly type: "chunks-request";
+  readonly names: readonly string[];
+}
+
+/** Chunks of a configuration, as JSON texts. */
+export interface Chunks {
+  readonly type: "chunks";
+  readonly texts: readonly string[];
+}
+
+/** How many requests of a team wait at a router, and the oldest's age. */
+export type TeamDemand = readonly [
+  team: string,
+  count: number,
+  oldestAgeMs: number,
+];
+
+/** Says what has changed in a router's waiting requests. */
 export interface Demand {
   readonly type: "demand";
-  readonly team: string;
-  readonly count: number;
-  readonly oldestAgeMs: number;
+  readonly teams: readonly TeamDemand[];
 }
 
 /** Offers a slot to a team's waiting requests at one router. */
@@ -69,7 +88,6 @@
   readonly type: "grant";
   readonly grant: number;
   readonly team: string;
-  readonly expiresMs: number;
 }
 
 /** Returns a grant for which no request waits. */
@@ -94,7 +112,6 @@
 export interface Run {
   readonly type: "run";
   readonly attempt: string;
-  readonly request: string;
   /** The grant that it binds; 0 for a request sent without one. */
   readonly grant: number;
   readonly team: string;
@@ -126,6 +143,12 @@
   readonly offset: number;
 }
 
+/** Says which whole answers have reached their callers. */
+export interface Delivered {
+  readonly type: "delivered";
+  readonly attempts: readonly string[];
+}
+
 /** Asks, on a new connection, for an answer from an offset on. */
 export interface Resume {
   readonly type: "resume";
@@ -187,23 +210,22 @@
   readonly retryAfterMs: number;
 }
 
-/** One team's state in the shared ledger of service. */
-export interface LedgerEntry {
-  readonly team: string;
-  readonly epoch: number;
-  readonly level: number;
-  /** Process whose counters these are. */
-  readonly origin: string;
-  readonly charged: number;
-  readonly refunded: number;
-  /** Whether the team waits at the sender. */
-  readonly waiting: boolean;
-}
+/** One team's state in the shared ledger; amounts in 1/16 of a unit. */
+export type PackedEntry = readonly [
+  team: string,
+  epoch: number,
+  level: number,
+  charged: number,
+  refunded: number,
+  waiting: boolean,
+  /** Process whose counters these are; empty for the sender. */
+  origin: string,
+];
 
 /** Spreads counters between side processes of one service. */
 export interface Counters {
   readonly type: "counters";
-  readonly entries: readonly LedgerEntry[];
+  readonly entries: readonly PackedEntry[];
 }
 
 /** Asks the arbiter of a key to let an attempt start. */
@@ -312,6 +334,8 @@
   | Leaving
   | ConfigurationRequest
   | Configuration
+  | ChunksRequest
+  | Chunks
   | Demand
   | Grant
   | GrantUnused
@@ -319,6 +343,7 @@
   | Run
   | Cancel
   | Acknowledge
+  | Delivered
   | Resume
   | Refused
   | Head
--- a/src/protocol/schema.ts
+++ b/src/protocol/schema.ts
@@ -10,19 +10,21 @@
 const amount = { type: "number", minimum: 0 };
 const flag = { type: "boolean" };
 const bytes = { bytes: true };
-const header = { type: "array", items: text, minItems: 2, maxItems: 2 };
+const header = tuple(text, text);
 const headers = { type: "array", maxItems: 200, items: header };
 const attempt = text;
 
-const ledgerEntry = object({
-  team: text,
-  epoch: count,
-  level: { type: "number" },
-  origin: text,
-  charged: amount,
-  refunded: amount,
-  waiting: flag,
-});
+const teamDemand = tuple(text, count, amount);
+
+const packedEntry = tuple(
+  text,
+  count,
+  { type: "integer" },
+  { type: "integer" },
+  { type: "integer" },
+  flag,
+  text,
+);
 
 const answer = object({ status: count, headers, body: bytes });
 
@@ -46,17 +48,18 @@
     challenge: bytes,
   },
   proof: { proof: bytes },
-  heartbeat: { nextMs: amount, configurationVersion: count },
+  heartbeat: { nextMs: amount, busy: flag, configurationVersion: count },
   leaving: {},
   "configuration-request": {},
-  configuration: { version: count, text: { type: "string" } },
-  demand: { team: text, count, oldestAgeMs: amount },
-  grant: { grant: count, team: text, expiresMs: amount },
+  configuration: { version: count, names: { type: "array", items: text } },
+  "chunks-request": { names: { type: "array", items: text } },
+  chunks: { texts: { type: "array", items: { type: "string" } } },
+  demand: { teams: { type: "array", items: teamDemand } },
+  grant: { grant: count, team: text },
   "grant-unused": { grant: count, team: text, waiting: count },
   availability: { free: count, slots: count },
   run: {
     attempt,
-    request: text,
     grant: count,
     team: text,
     kind: text,
@@ -72,6 +75,7 @@
   },
   cancel: { attempt },
   acknowledge: { attempt, offset: count },
+  delivered: { attempts: { type: "array", items: attempt } },
   resume: { attempt, offset: count, head: flag },
   refused: { attempt, code: text, retryAfterMs: amount },
   head: { attempt, status: count, headers },
@@ -84,7 +88,7 @@
     sentence: text,
     retryAfterMs: amount,
   },
-  counters: { entries: { type: "array", items: ledgerEntry } },
+  counters: { entries: { type: "array", items: packedEntry } },
   claim: { query: count, key: text, attempt, bodyHash: text },
   "claim-answer": {
     query: count,
@@ -111,6 +115,11 @@
   clear: { fingerprint: text },
 };
 
+function tuple(...items: object[]): object {
+  const length = items.length;
+  return { type: "array", items, minItems: length, maxItems: length };
+}
+
 function object(properties: Record<string, object>): object {
   return {
     type: "object",
--- a/src/router/caller_answer.ts
+++ b/src/router/caller_answer.ts
@@ -20,6 +20,10 @@
     response.on("close", () => {
       if (!response.writableFinished) this.#gone.abort();
     });
+    // The caller may have gone before anybody listened.
+    if (response.destroyed || response.socket?.destroyed !== false) {
+      this.#gone.abort();
+    }
   }
 
   /** Aborts when the caller goes away before its answer is whole. */
--- a/src/router/caller_request.ts
+++ b/src/router/caller_request.ts
@@ -1,14 +1,16 @@
 /** A caller's request once it is understood. */
 
 import type { Deadline } from "../common/deadline.ts";
-import type { Contract, Service } from "../configuration/mod.ts";
+import type { Service } from "../configuration/mod.ts";
 import type { Header } from "../protocol/mod.ts";
 
 /** What the router knows of a request. */
 export interface CallerRequest {
+  /** Unique in the fleet; shown to the caller. */
   readonly id: string;
+  /** Unique at this incarnation of the router. */
+  readonly number: number;
   readonly team: string;
-  readonly contract: Contract;
   readonly service: Service;
   readonly kind: string;
   readonly method: string;
@@ -25,6 +27,8 @@
   readonly priority: number;
   /** Requests of the team that may wait at this router. */
   readonly maxWaiting: number;
+  /** Requests of the team that may be bound by this router. */
+  readonly maxInProgress: number;
   readonly deadline: Deadline;
   readonly arrivedMs: number;
 }
--- a/src/router/entry.ts
+++ b/src/router/entry.ts
@@ -1,6 +1,5 @@
 /** Where callers connect: HTTP by moleculer-web. */
 
-import { randomUUID } from "node:crypto";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { ServiceBroker } from "moleculer";
 import ApiGateway from "moleculer-web";
@@ -25,6 +24,8 @@
 export interface EntryParts {
   readonly reader: Reader;
   readonly serving: Serving;
+  /** Incarnation of the router, a part of every request's name. */
+  readonly incarnation: string;
 }
 
 /** Adds the callers' gateway to the local service container. */
@@ -33,8 +34,11 @@
   parts: EntryParts,
   { host, port }: { readonly host: string; readonly port: number },
 ): void {
+  let requests = 0;
   const handle = (request: IncomingMessage, response: ServerResponse) => {
-    void new Exchange(parts, request, response).run().catch((error) => {
+    requests += 1;
+    const exchange = new Exchange(parts, { request, response }, requests);
+    void exchange.run().catch((error) => {
       // A defect must not take the other callers' requests with it.
       log.error(`Request failed by a defect: ${(error as Error).stack}`);
       response.destroy();
@@ -53,9 +57,10 @@
           bodyParsers: false,
           mappingPolicy: "restrict",
           aliases: {
-            [`POST ${CHAT_PATH}`]: handle,
+            [CHAT_PATH]: handle,
             [`${SERVICES_PREFIX}:name`]: handle,
             [`${SERVICES_PREFIX}:name/:rest*`]: handle,
+            "/:rest*": handle,
           },
         },
       ],
@@ -67,6 +72,11 @@
   });
 }
 
+interface Http {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+}
+
 interface Incoming {
   readonly address: Address;
   readonly body: Buffer;
@@ -78,15 +88,15 @@
   readonly #request: IncomingMessage;
   readonly #answer: CallerAnswer;
   readonly #url: string;
+  readonly #id: string;
+  readonly #number: number;
 
-  constructor(
-    parts: EntryParts,
-    request: IncomingMessage,
-    response: ServerResponse,
-  ) {
+  constructor(parts: EntryParts, { request, response }: Http, number: number) {
     this.#parts = parts;
     this.#request = request;
-    this.#answer = new CallerAnswer(response, randomUUID());
+    this.#number = number;
+    this.#id = `${parts.incarnation}-${number}`;
+    this.#answer = new CallerAnswer(response, this.#id);
     this.#url =
       (request as { originalUrl?: string }).originalUrl ?? request.url ?? "/";
   }
@@ -105,13 +115,22 @@
       address,
     );
     if (admitted.isErr()) return this.#answer.fail(admitted.error);
-    await serving.serve(admitted.value, this.#answer);
+    const named = { ...admitted.value, id: this.#id, number: this.#number };
+    await serving.serve(named, this.#answer);
   }
 
   async #read(): Promise<Result<Incoming, Failure>> {
-    return this.#url.startsWith(SERVICES_PREFIX)
-      ? await this.#readPlain()
-      : await this.#readChat();
+    const [path] = this.#url.split("?");
+    if (this.#url.startsWith(SERVICES_PREFIX)) return await this.#readPlain();
+    if (path !== CHAT_PATH) {
+      const sentence = `Path "${path}" is not known`;
+      return err(badRequest(404, "unknown-path", { sentence }));
+    }
+    if (this.#request.method !== "POST") {
+      const sentence = `Method must be POST for "${path}"`;
+      return err(badRequest(405, "bad-method", { sentence }));
+    }
+    return await this.#readChat();
   }
 
   async #readPlain(): Promise<Result<Incoming, Failure>> {
--- a/src/router/fleet.ts
+++ b/src/router/fleet.ts
@@ -2,6 +2,7 @@
 
 import type { Instance } from "../platform/mod.ts";
 import { SidePeer, type SidePeerParts } from "./side_peer.ts";
+import { chooseSubset } from "./subset.ts";
 
 /** Free shares that differ by less count as equal. */
 const NEAR_TIE = 0.1;
@@ -29,10 +30,12 @@
 
   /** Follows the instance list. */
   update(instances: readonly Instance[]): void {
+    const { instance } = this.#parts.credentials.identity;
     const listed = new Map(
-      instances
-        .filter(({ role }) => role === "side-process")
-        .map((one) => [`${one.name}@${one.host}:${one.port}`, one]),
+      chooseSubset(instances, instance).map((one) => [
+        `${one.name}@${one.host}:${one.port}`,
+        one,
+      ]),
     );
     for (const [key, peer] of this.#peers) {
       // A lagging list must not cut off what is in progress.
--- a/src/router/reader.ts
+++ b/src/router/reader.ts
@@ -11,6 +11,7 @@
   type Service,
   type Team,
   type Treatment,
+  versionedName,
 } from "../configuration/mod.ts";
 import type { Header } from "../protocol/mod.ts";
 import type { CallerRequest } from "./caller_request.ts";
@@ -25,9 +26,11 @@
   readonly clock: Clock;
   readonly active: ActiveConfiguration;
   readonly availabilityZone: string;
-  readonly createId: () => string;
 }
 
+/** A request that the rules admit; its entry names it. */
+export type Admitted = Omit<CallerRequest, "id" | "number">;
+
 /** Where a request is addressed. */
 export interface Address {
   readonly service: string;
@@ -72,7 +75,7 @@
     request: IncomingMessage,
     { team, body }: { readonly team: Team; readonly body: Buffer },
     address: Address,
-  ): Result<CallerRequest, Failure> {
+  ): Result<Admitted, Failure> {
     const options = readOptions(request);
     if (options.isErr()) return err(options.error);
     const facts = this.#facts(
@@ -94,8 +97,10 @@
       }
       case "send":
       case "admit": {
-        const name = then.type === "send" ? then.service : address.service;
-        const service = this.service(name);
+        const service =
+          then.type === "send"
+            ? this.#chosen(then)
+            : this.service(address.service);
         return service.andThen((found) =>
           this.#create(
             request,
@@ -122,6 +127,20 @@
     return err(badRequest(404, "unknown-service", { sentence }));
   }
 
+  #chosen({
+    service,
+    version,
+  }: {
+    readonly service: string;
+    readonly version?: string;
+  }): Result<Service, Failure> {
+    return this.service(service).map((found) =>
+      version === undefined
+        ? found
+        : { ...found, name: versionedName(service, version) },
+    );
+  }
+
   #facts(
     request: IncomingMessage,
     { team, options }: { readonly team: Team; readonly options: Options },
@@ -150,8 +169,8 @@
       treatment: Treatment;
       options: Options;
     },
-  ): Result<CallerRequest, Failure> {
-    const { clock, active, createId } = this.#parts;
+  ): Result<Admitted, Failure> {
+    const { clock, active } = this.#parts;
     const { service, treatment, options } = chosen;
     const contract = active.contract(team.name);
     if (contract === null) {
@@ -161,9 +180,7 @@
     const limitMs = treatment.deadlineMs ?? service.deadlineMs;
     const deadlineMs = Math.min(options.deadlineMs ?? limitMs, limitMs);
     return ok({
-      id: createId(),
       team: team.name,
-      contract,
       service,
       kind: facts.kind,
       method: facts.method,
@@ -175,6 +192,8 @@
       costHint: options.costHint,
       priority: treatment.priority ?? 0,
       maxWaiting: treatment.maxWaitingPerRouter ?? contract.maxWaitingPerRouter,
+      maxInProgress:
+        treatment.maxInProgressPerRouter ?? contract.maxInProgressPerRouter,
       deadline: new Deadline(clock, deadlineMs),
       arrivedMs: clock.monotonicMs(),
     });
@@ -254,10 +273,15 @@
   }
   const pieces: Buffer[] = [];
   let sizeBytes = 0;
-  for await (const piece of request as AsyncIterable<Buffer>) {
-    sizeBytes += piece.length;
-    if (sizeBytes > limitBytes) return tooLong();
-    pieces.push(piece);
+  try {
+    for await (const piece of request as AsyncIterable<Buffer>) {
+      sizeBytes += piece.length;
+      if (sizeBytes > limitBytes) return tooLong();
+      pieces.push(piece);
+    }
+  } catch {
+    const sentence = "The caller went away before its body was whole";
+    return err(badRequest(400, "body-cut-off", { sentence }));
   }
   return ok(Buffer.concat(pieces));
 }
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -9,6 +9,7 @@
 import { sleep } from "../common/signal.ts";
 import {
   ActiveConfiguration,
+  ConfigurationSpread,
   ConfigurationWatcher,
   type RouterSettings,
 } from "../configuration/mod.ts";
@@ -48,7 +49,6 @@
   /** When each service was first seen without a server. */
   readonly #withoutServer = new Map<string, Deadline>();
   #noServerTimer: NodeJS.Timeout | null = null;
-  #requests = 0;
   #closing = false;
 
   constructor(settings: RouterSettings) {
@@ -65,7 +65,7 @@
     this.#instances = new InstanceList(platformUrl, this.#clock);
     this.#fleet = new Fleet({
       clock: this.#clock,
-      active: this.#active,
+      configurationSpread: new ConfigurationSpread(this.#active, this.#clock),
       credentials: { identity: this.#identity, fleetKey },
       owner: {
         clock: this.#clock,
@@ -74,8 +74,11 @@
       },
       listener: {
         granted: (peer, grant) => this.#serving.granted(peer, grant),
-        connected: (peer) => this.#serving.connected(peer),
-        disconnected: (peer) => this.#noteServers(peer),
+        connected: (peer) => this.#serving.renewDemand(peer),
+        disconnected: (peer) => {
+          this.#serving.renewDemand(peer);
+          this.#noteServers(peer);
+        },
       },
     });
     this.#serving = new Serving({
@@ -146,18 +149,13 @@
       clock: this.#clock,
       active: this.#active,
       availabilityZone: this.#identity.availabilityZone,
-      createId: () => this.#createId(),
     });
-    createEntry(broker, { reader, serving: this.#serving }, entry);
+    const { incarnation } = this.#identity;
+    const parts = { reader, serving: this.#serving, incarnation };
+    createEntry(broker, parts, entry);
     return broker;
   }
 
-  /** Names are short and never used again, also after a restart. */
-  #createId(): string {
-    this.#requests += 1;
-    return `${this.#identity.incarnation}-${this.#requests}`;
-  }
-
   #noteServers(peer: SidePeer): void {
     const { service } = peer.instance;
     if (this.#fleet.usable(service).length > 0) return;
--- a/src/router/serving.ts
+++ b/src/router/serving.ts
@@ -102,14 +102,13 @@
     const line = this.#line(peer.instance.service);
     if (line.bind(team, peer, grant)) return;
     const waiting = line.count(team);
+    line.learned(peer, team);
     peer.send({ type: "grant-unused", grant, team, waiting });
   }
 
-  /** Tells a peer that has connected what waits for it. */
-  connected(peer: SidePeer): void {
-    for (const demand of this.#line(peer.instance.service).demands()) {
-      peer.send(demand);
-    }
+  /** Tells anew what waits when a peer has connected or gone. */
+  renewDemand(peer: SidePeer): void {
+    this.#line(peer.instance.service).renew(peer);
   }
 
   /** Gives up what waits for a service that has no server left. */
@@ -126,7 +125,7 @@
 
   /** Returns why a request can't even wait, or null. */
   #bounds(request: CallerRequest): Failure | null {
-    const { team, service, contract, maxWaiting } = request;
+    const { team, service, maxInProgress, maxWaiting } = request;
     const retry = { retryAfterMs: RETRY_AFTER_MS };
     if (this.#parts.fleet.usable(service.name).length === 0) {
       const sentence = `No backend server of "${service.name}" can be reached`;
@@ -137,7 +136,7 @@
       return notRun(429, "too-many-waiting", { sentence, ...retry });
     }
     const open = this.#open.get(`${team}\n${service.name}`) ?? 0;
-    const limit = contract.maxInProgressPerRouter + maxWaiting;
+    const limit = maxInProgress + maxWaiting;
     if (open < limit) return null;
     const sentence = `${open} requests of the team are in progress already`;
     return notRun(429, "too-many-in-progress", { sentence, ...retry });
@@ -199,8 +198,7 @@
     const { service, deadline } = request;
     return {
       type: "run",
-      attempt: `${request.id}.${number}`,
-      request: request.id,
+      attempt: `${request.number}.${number}`,
       grant,
       team: request.team,
       kind: request.kind,
@@ -222,6 +220,7 @@
     { request, answer }: { request: CallerRequest; answer: CallerAnswer },
   ): Promise<Outcome> {
     const attempt = peer.start(run);
+    this.#line(request.service.name).learned(peer, run.team);
     const { deadline } = request;
     const stop = () => attempt.lose("Nobody waits for the answer");
     const timer = setTimeout(stop, deadline.remainingMs);
@@ -275,7 +274,7 @@
         }
         case "end":
           begin();
-          acknowledge(event.offset);
+          peer.delivered(attempt);
           answer.end();
           return { type: "answered" };
         case "refused":
@@ -371,9 +370,7 @@
     const known = this.#lines.get(service);
     if (known !== undefined) return known;
     const { clock, fleet } = this.#parts;
-    const line = new WaitingLine(clock, (demand) => {
-      for (const peer of fleet.usable(service)) peer.send(demand);
-    });
+    const line = new WaitingLine(clock, () => fleet.usable(service));
     this.#lines.set(service, line);
     return line;
   }
--- a/src/router/side_peer.ts
+++ b/src/router/side_peer.ts
@@ -3,7 +3,7 @@
 import type { Clock } from "../common/clock.ts";
 import { Deadline } from "../common/deadline.ts";
 import { logger } from "../common/log.ts";
-import { type ActiveConfiguration, spread } from "../configuration/mod.ts";
+import type { ConfigurationSpread } from "../configuration/mod.ts";
 import type { Instance } from "../platform/mod.ts";
 import type { Grant, Message, Run } from "../protocol/mod.ts";
 import {
@@ -18,6 +18,8 @@
 
 /** How long attempts wait for a new connection before they are lost. */
 const RESUME_MS = 5_000;
+/** Whole answers within this time are acknowledged together. */
+const DELIVERED_MS = 250;
 /** Attempts to cancel once the side process can be reached again. */
 const CANCELS_LIMIT = 10_000;
 
@@ -31,7 +33,7 @@
 /** What a peer shares with the rest of the process. */
 export interface SidePeerParts {
   readonly clock: Clock;
-  readonly active: ActiveConfiguration;
+  readonly configurationSpread: ConfigurationSpread;
   readonly credentials: Credentials;
   readonly owner: ConnectionOwner;
   readonly listener: PeerListener;
@@ -46,9 +48,12 @@
   #connection: Connection | null = null;
   #incarnation = "";
   #cancels: string[] = [];
+  #delivered: string[] = [];
+  #deliveredTimer: NodeJS.Timeout | null = null;
   #lossTimer: NodeJS.Timeout | null = null;
   #saysLeaving = false;
   #listedLeaving = false;
+  #awaited = false;
   #free = 0;
   #slots = 1;
 
@@ -97,6 +102,12 @@
     this.#listedLeaving = leaving;
   }
 
+  /** Notes whether requests wait for it; a silent peer is found then. */
+  setAwaited(awaited: boolean): void {
+    this.#awaited = awaited;
+    this.#setBusy();
+  }
+
   /** Sends a message if connected. */
   send(message: Message): void {
     this.#connection?.send(message);
@@ -113,7 +124,7 @@
     this.#attempts.set(run.attempt, attempt);
     this.#free = Math.max(0, this.#free - 1);
     this.send(run);
-    this.#connection?.setBusy(true);
+    this.#setBusy();
     if (this.#connection === null) {
       attempt.lose("Connection closed before the request was sent");
     }
@@ -123,7 +134,17 @@
   /** Forgets an attempt that has ended. */
   finish({ run }: Attempt): void {
     this.#attempts.delete(run.attempt);
-    this.#connection?.setBusy(this.#attempts.size > 0);
+    this.#setBusy();
+  }
+
+  /** Tells, together with others, that a whole answer has arrived. */
+  delivered({ run }: Attempt): void {
+    this.#delivered.push(run.attempt);
+    this.#deliveredTimer ??= setTimeout(() => {
+      this.#deliveredTimer = null;
+      this.send({ type: "delivered", attempts: this.#delivered });
+      this.#delivered = [];
+    }, DELIVERED_MS);
   }
 
   /** Cancels an attempt, now or when the peer can be reached again. */
@@ -137,9 +158,10 @@
   }
 
   async #serve(connection: Connection): Promise<void> {
+    const { configurationSpread } = this.#parts;
     this.#connect(connection);
     for await (const message of connection.messages) {
-      if (spread.handle(this.#parts.active, connection, message)) continue;
+      if (configurationSpread.handle(connection, message)) continue;
       this.#handle(message);
     }
     this.#disconnect(connection);
@@ -157,7 +179,7 @@
     }
     for (const attempt of this.#cancels) this.send({ type: "cancel", attempt });
     this.#cancels = [];
-    connection.setBusy(this.#attempts.size > 0);
+    this.#setBusy();
     this.#parts.listener.connected(this);
   }
 
@@ -174,6 +196,10 @@
     this.#startLossTimer();
   }
 
+  #setBusy(): void {
+    this.#connection?.setBusy(this.#awaited || this.#attempts.size > 0);
+  }
+
   #startLossTimer(): void {
     this.#stopLossTimer();
     const deadline = new Deadline(this.#parts.clock, RESUME_MS);
--- a/src/router/waiting_line.ts
+++ b/src/router/waiting_line.ts
@@ -2,8 +2,8 @@
 
 import type { Clock } from "../common/clock.ts";
 import { Deferred } from "../common/signal.ts";
-import type { Demand } from "../protocol/mod.ts";
 import type { CallerRequest } from "./caller_request.ts";
+import { DemandAnnouncer } from "./demand_announcer.ts";
 import type { SidePeer } from "./side_peer.ts";
 
 /** Why a request stopped waiting. */
@@ -23,19 +23,21 @@
   readonly bound: Deferred<Binding>;
 }
 
-/** Sends demand to the side processes of the service. */
-export type SendDemand = (demand: Demand) => void;
-
 /** Binds requests to grants as late as possible. */
 export class WaitingLine {
   readonly #clock: Clock;
-  readonly #sendDemand: SendDemand;
   readonly #teams = new Map<string, Waiting[]>();
-  readonly #announced = new Map<string, number>();
+  readonly #announcer: DemandAnnouncer;
+  readonly #peers: () => readonly SidePeer[];
 
-  constructor(clock: Clock, sendDemand: SendDemand) {
+  constructor(clock: Clock, peers: () => readonly SidePeer[]) {
     this.#clock = clock;
-    this.#sendDemand = sendDemand;
+    this.#peers = peers;
+    this.#announcer = new DemandAnnouncer({
+      peers,
+      count: (team) => this.count(team),
+      ageMs: (team) => this.#ageMs(team),
+    });
   }
 
   /** Whether no request waits. */
@@ -91,9 +93,16 @@
     }
   }
 
-  /** Returns the demand of every team, for a peer that has connected. */
-  demands(): Demand[] {
-    return [...this.#teams.keys()].map((team) => this.#demand(team));
+  /** Notes that a peer learned how many requests of a team wait. */
+  learned(peer: SidePeer, team: string): void {
+    this.#announcer.learned(peer, team, this.count(team));
+  }
+
+  /** Tells demand anew, as when a peer has connected or gone. */
+  renew(peer: SidePeer): void {
+    this.#announcer.forget(peer);
+    peer.setAwaited(!this.empty);
+    for (const team of this.#teams.keys()) this.#announcer.changed(team);
   }
 
   /** Keeps higher priority first, then earlier arrival. */
@@ -102,8 +111,9 @@
     const line = this.#teams.get(request.team) ?? [];
     const at = line.findLastIndex((other) => !goesAfter(other, waiting));
     line.splice(at + 1, 0, waiting);
+    if (this.empty) this.#setAwaited(true);
     this.#teams.set(request.team, line);
-    this.#announce(request.team);
+    this.#announcer.changed(request.team);
   }
 
   #remove(waiting: Waiting): void {
@@ -113,27 +123,18 @@
     if (line === undefined || at === -1) return;
     line.splice(at, 1);
     if (line.length === 0) this.#teams.delete(team);
-    this.#announce(team);
+    if (this.empty) this.#setAwaited(false);
+    this.#announcer.changed(team);
   }
 
-  /** Speaks when demand appears, doubles, halves or ends. */
-  #announce(team: string): void {
-    const count = this.count(team);
-    const announced = this.#announced.get(team) ?? 0;
-    const unchanged =
-      announced > 0 && count < announced * 2 && count > announced / 2;
-    if (unchanged || count === announced) return;
-    if (count === 0) this.#announced.delete(team);
-    else this.#announced.set(team, count);
-    this.#sendDemand(this.#demand(team));
+  #setAwaited(awaited: boolean): void {
+    for (const peer of this.#peers()) peer.setAwaited(awaited);
   }
 
-  #demand(team: string): Demand {
+  #ageMs(team: string): number {
     const oldest = this.#teams.get(team)?.[0];
-    const nowMs = this.#clock.monotonicMs();
-    const oldestAgeMs =
-      oldest === undefined ? 0 : nowMs - oldest.request.arrivedMs;
-    return { type: "demand", team, count: this.count(team), oldestAgeMs };
+    if (oldest === undefined) return 0;
+    return this.#clock.monotonicMs() - oldest.request.arrivedMs;
   }
 }
 
--- a/src/side_process/attempt.ts
+++ b/src/side_process/attempt.ts
@@ -1,7 +1,9 @@
 /** One attempt of one request at the backend server. */
 
+import type { Result } from "neverthrow";
 import type { Clock } from "../common/clock.ts";
 import { Deadline } from "../common/deadline.ts";
+import { messageOf } from "../common/error_message.ts";
 import { sleep } from "../common/signal.ts";
 import type {
   Failed,
@@ -163,7 +165,7 @@
   async #answer(): Promise<BackendError | null> {
     const { backend } = this.#parts;
     const { signal } = this.#abort;
-    let reply = await backend.start(this.run, signal);
+    let reply = await this.#head((head) => backend.start(this.run, head));
     const resumeUntil = () => new Deadline(this.#parts.clock, ENGINE_RESUME_MS);
     let giveUp = resumeUntil();
     for (;;) {
@@ -177,10 +179,28 @@
       if (signal.aborted || giveUp.expired) return broken;
       if (reply.isErr()) await sleep(ENGINE_RETRY_MS, signal);
       const offset = this.buffer.endOffset;
-      reply = await backend.resume(this.run.attempt, offset, { signal });
+      reply = await this.#head((head) =>
+        backend.resume(this.run.attempt, offset, { signal: head }),
+      );
     }
   }
 
+  /** Gives a call up that brings no head, so that it is asked for again. */
+  async #head(
+    call: (signal: AbortSignal) => Promise<Result<Reply, BackendError>>,
+  ): Promise<Result<Reply, BackendError>> {
+    const { signal } = this.#abort;
+    if (!this.#parts.backend.resumable) return await call(signal);
+    const silence = new AbortController();
+    const timer = setTimeout(
+      () => silence.abort(new Error("Backend server was silent")),
+      ENGINE_SILENCE_MS,
+    );
+    const reply = await call(AbortSignal.any([signal, silence.signal]));
+    clearTimeout(timer);
+    return reply;
+  }
+
   /** Passes an answer on; returns what broke it off, or null at its end. */
   async #read(reply: Reply): Promise<BackendError | null> {
     if (this.buffer.head === null) {
@@ -197,7 +217,7 @@
       }
       return null;
     } catch (error) {
-      return broken((error as Error).message);
+      return broken(messageOf(error));
     } finally {
       stopWatching();
     }
--- a/src/side_process/backend_client.ts
+++ b/src/side_process/backend_client.ts
@@ -2,6 +2,7 @@
 
 import { err, ok, type Result } from "neverthrow";
 import { Agent, type Dispatcher, request } from "undici";
+import { messageOf } from "../common/error_message.ts";
 import type { BackendServer } from "../configuration/mod.ts";
 import type { Header, Run } from "../protocol/mod.ts";
 
@@ -182,7 +183,7 @@
 ]);
 
 function toError(error: unknown): BackendError {
-  const { code, message } = error as { code?: string; message: string };
+  const { code } = Object(error) as { code?: string };
   const type = NOT_SENT_CODES.has(code ?? "") ? "not-sent" : "broken";
-  return { type, sentence: message };
+  return { type, sentence: messageOf(error) };
 }
--- /dev/null
+++ b/src/side_process/components.ts
@@ -0,0 +1,133 @@
+/** The parts of a side process, put together. */
+
+import { randomUUID } from "node:crypto";
+import type { Clock } from "../common/clock.ts";
+import {
+  ActiveConfiguration,
+  ConfigurationSpread,
+  ConfigurationWatcher,
+  type SideProcessSettings,
+} from "../configuration/mod.ts";
+import { CounterSpread, Ledger } from "../fairness/mod.ts";
+import * as metrics from "../metrics/mod.ts";
+import { InstanceList, ObjectStore } from "../platform/mod.ts";
+import {
+  type ConnectionOwner,
+  type Credentials,
+  Traffic,
+} from "../transport/mod.ts";
+import { Attempts } from "./attempts.ts";
+import { BackendClient } from "./backend_client.ts";
+import { type BackendListener, BackendWatch } from "./backend_watch.ts";
+import { Dispatcher } from "./dispatcher.ts";
+import {
+  Arbiter,
+  KeyGuard,
+  KeyLeases,
+  KeyMemory,
+  WHOLE_HISTORY_MS,
+} from "./keys/mod.ts";
+import { Peers } from "./peers.ts";
+import { Quarantine } from "./quarantine.ts";
+import { Runner } from "./runner.ts";
+
+const DEFAULT_GRANTS_AHEAD = 1;
+
+/** Everything that a side process consists of. */
+export interface Components {
+  readonly clock: Clock;
+  readonly credentials: Credentials;
+  readonly owner: ConnectionOwner;
+  readonly metrics: metrics.Registry;
+  readonly traffic: Traffic;
+  readonly active: ActiveConfiguration;
+  readonly configurationSpread: ConfigurationSpread;
+  readonly store: ObjectStore;
+  readonly instances: InstanceList;
+  readonly watcher: ConfigurationWatcher;
+  readonly backend: BackendClient;
+  readonly backendWatch: BackendWatch;
+  readonly ledger: Ledger;
+  readonly spread: CounterSpread;
+  readonly dispatcher: Dispatcher;
+  readonly attempts: Attempts;
+  readonly memory: KeyMemory;
+  readonly leases: KeyLeases;
+  readonly quarantine: Quarantine;
+  readonly peers: Peers;
+  readonly runner: Runner;
+}
+
+/** Creates the parts; nothing runs yet. */
+export function createComponents(
+  settings: SideProcessSettings,
+  clock: Clock,
+  { listener }: { readonly listener: BackendListener },
+): Components {
+  const { instance, availabilityZone, platformUrl } = settings;
+  const credentials = createCredentials(settings);
+  const { incarnation, service } = credentials.identity;
+  const active = new ActiveConfiguration(clock);
+  const traffic = new Traffic();
+  const configurationVersion = () => active.version;
+  const owner: ConnectionOwner = { clock, traffic, configurationVersion };
+  const registry = new metrics.Registry();
+  const configurationSpread = new ConfigurationSpread(active, clock);
+  const store = new ObjectStore(platformUrl);
+  const instances = new InstanceList(platformUrl, clock);
+  const watcher = new ConfigurationWatcher(store, active, {
+    ...{ instance, availabilityZone },
+    instances: () => instances.instances,
+  });
+  const backend = new BackendClient(settings.backendServer);
+  const backendWatch = new BackendWatch(backend, listener);
+  const ledger = new Ledger(incarnation);
+  const spread = new CounterSpread(ledger, clock);
+  const { slots, grantsAhead: ahead = DEFAULT_GRANTS_AHEAD } =
+    settings.backendServer;
+  const shared = { clock, active, ledger, spread };
+  const dispatcher = new Dispatcher(shared, { slots, ahead });
+  const attempts = new Attempts(clock);
+  const memory = new KeyMemory(clock);
+  const quarantine = new Quarantine(clock);
+  const peers = new Peers({
+    ...{ clock, credentials, owner, memory, quarantine, ledger },
+    ...{ configurationSpread, incarnation },
+    arbiter: () => arbiter,
+  });
+  const leases = new KeyLeases({
+    ...{ clock, store, service },
+    own: { instance, incarnation },
+    historyBegins: () => memory.extend(WHOLE_HISTORY_MS),
+    members: () => [instance, ...peers.instances],
+  });
+  const arbiter = new Arbiter({ clock, leases, memory, peers, incarnation });
+  const keys = new KeyGuard({
+    ...{ clock, leases, memory, peers, arbiter, instance, incarnation },
+  });
+  const runner = new Runner({
+    ...{ clock, quarantine, backend, attempts, dispatcher, keys },
+    metrics: registry,
+    watch: backendWatch,
+    tellPeers: (message) => peers.broadcast(message),
+  });
+  return {
+    ...{ clock, credentials, owner, traffic, active, store, instances },
+    configurationSpread,
+    ...{ watcher, backend, backendWatch, ledger, spread, dispatcher },
+    ...{ attempts, memory, leases, quarantine, peers, runner },
+    metrics: registry,
+  };
+}
+
+function createCredentials(settings: SideProcessSettings): Credentials {
+  const { instance, availabilityZone, fleetKey, backendServer } = settings;
+  const identity = {
+    role: "side-process" as const,
+    instance,
+    incarnation: randomUUID(),
+    availabilityZone,
+    service: backendServer.service,
+  };
+  return { identity, fleetKey };
+}
--- a/src/side_process/dispatcher.ts
+++ b/src/side_process/dispatcher.ts
@@ -3,7 +3,7 @@
 import type { Clock } from "../common/clock.ts";
 import type { ActiveConfiguration, Meter } from "../configuration/mod.ts";
 import { type CounterSpread, Estimator, type Ledger } from "../fairness/mod.ts";
-import type { GrantUnused, Run } from "../protocol/mod.ts";
+import type { GrantUnused, Run, TeamDemand } from "../protocol/mod.ts";
 import { Charge } from "./charge.ts";
 import { DemandBook } from "./demand_book.ts";
 
@@ -19,7 +19,7 @@
 
 /** A router as the dispatcher sees it. */
 export interface GrantReceiver {
-  sendGrant(grant: number, team: string, expiresMs: number): void;
+  sendGrant(grant: number, team: string): void;
   sendAvailability(free: number, slots: number): void;
 }
 
@@ -100,14 +100,12 @@
     router.sendAvailability(this.#freeWithoutBacklog(), this.#limits.slots);
   }
 
-  /** Takes a router's demand for a team. */
-  setDemand(
-    router: GrantReceiver,
-    team: string,
-    waiting: { readonly count: number; readonly ageMs: number },
-  ): void {
-    this.#demand.set(router, team, waiting);
-    this.#noteWaiting(team);
+  /** Takes what has changed in a router's demand. */
+  setDemand(router: GrantReceiver, teams: readonly TeamDemand[]): void {
+    for (const [team, count, ageMs] of teams) {
+      this.#demand.set(router, team, { count, ageMs });
+      this.#noteWaiting(team);
+    }
     this.#fill();
   }
 
@@ -191,7 +189,7 @@
     }, GRANT_TIMEOUT_MS);
     this.#grants.set(id, { team, charge, timer });
     this.#noteWaiting(team);
-    router.sendGrant(id, team, GRANT_TIMEOUT_MS);
+    router.sendGrant(id, team);
   }
 
   #charge(team: string): Charge {
--- a/src/side_process/peer_session.ts
+++ b/src/side_process/peer_session.ts
@@ -2,13 +2,18 @@
 
 import { logger } from "../common/log.ts";
 import { Deferred, within } from "../common/signal.ts";
-import { type ActiveConfiguration, spread } from "../configuration/mod.ts";
-import type { Ledger } from "../fairness/mod.ts";
+import type { ConfigurationSpread } from "../configuration/mod.ts";
+import {
+  type Ledger,
+  type LedgerEntry,
+  pack,
+  unpack,
+} from "../fairness/mod.ts";
 import type {
   KeyAnswer,
   KeyUpdate,
-  LedgerEntry,
   Message,
+  PackedEntry,
 } from "../protocol/mod.ts";
 import type { Connection } from "../transport/mod.ts";
 import type { Arbiter, KeyMemory } from "./keys/mod.ts";
@@ -18,12 +23,16 @@
 
 /** Entries sent in one message. */
 const BATCH_ENTRIES = 500;
+/** Time between heartbeats: counters must not be missing for long. */
+const PEER_HEARTBEAT_MS = 2_000;
 /** Longest wait for a peer's answer. */
 const ANSWER_TIMEOUT_MS = 1_000;
 
 /** What a session shares with the rest of the process. */
 export interface PeerSessionParts {
-  readonly active: ActiveConfiguration;
+  readonly configurationSpread: ConfigurationSpread;
+  /** Incarnation of this process. */
+  readonly incarnation: string;
   readonly ledger: Ledger;
   readonly memory: KeyMemory;
   readonly quarantine: Quarantine;
@@ -48,6 +57,7 @@
   constructor(connection: Connection, parts: PeerSessionParts) {
     this.#connection = connection;
     this.#parts = parts;
+    connection.setIdleHeartbeat(PEER_HEARTBEAT_MS);
   }
 
   /** Name of the peer's instance. */
@@ -67,11 +77,11 @@
 
   /** Serves until the connection closes. */
   async serve(): Promise<void> {
-    const { active, ledger, quarantine } = this.#parts;
+    const { configurationSpread, ledger, quarantine } = this.#parts;
     this.sendCounters(ledger.snapshot());
     for (const strike of quarantine.strikes()) this.send(strike);
     for await (const message of this.#connection.messages) {
-      if (spread.handle(active, this.#connection, message)) continue;
+      if (configurationSpread.handle(this.#connection, message)) continue;
       this.#handle(message);
     }
     ledger.forget(this.incarnation);
@@ -91,7 +101,9 @@
   /** Sends entries of the ledger, in batches. */
   sendCounters(entries: readonly LedgerEntry[]): void {
     for (let at = 0; at < entries.length; at += BATCH_ENTRIES) {
-      const batch = entries.slice(at, at + BATCH_ENTRIES);
+      const batch = entries
+        .slice(at, at + BATCH_ENTRIES)
+        .map((entry) => pack(entry, this.#parts.incarnation));
       this.send({ type: "counters", entries: batch });
     }
   }
@@ -104,10 +116,14 @@
     const query = this.#lastQuery;
     const answered = new Deferred<Message | null>();
     this.#questions.set(query, answered);
+    // Until it answers, a silent connection is looked for.
+    this.#connection.setBusy(true);
     this.send(create(query));
     const answer = await within(answered.promise, ANSWER_TIMEOUT_MS);
     this.#questions.delete(query);
-    return answer.type === "value" ? (answer.value as T | null) : null;
+    if (answer.type === "timeout") return null;
+    this.#connection.setBusy(this.#questions.size > 0);
+    return answer.value as T | null;
   }
 
   #handle(message: Message): void {
@@ -144,9 +160,10 @@
     }
   }
 
-  #merge(entries: readonly LedgerEntry[]): void {
+  #merge(entries: readonly PackedEntry[]): void {
     const { ledger } = this.#parts;
     const behind = entries
+      .map((packed) => unpack(packed, this.incarnation))
       .filter((entry) => ledger.merge(entry))
       .map(({ team }) => ledger.entry(team))
       .filter((entry) => entry !== null);
--- a/src/side_process/peers.ts
+++ b/src/side_process/peers.ts
@@ -1,13 +1,13 @@
 /** Connections with the other side processes of the service. */
 
 import type { Clock } from "../common/clock.ts";
+import type { LedgerEntry } from "../fairness/mod.ts";
 import type { Instance } from "../platform/mod.ts";
 import type {
   ClaimAnswer,
   KeyAnswer,
   KeyKept,
   KeyRecord,
-  LedgerEntry,
   Message,
 } from "../protocol/mod.ts";
 import {
--- a/src/side_process/router_session.ts
+++ b/src/side_process/router_session.ts
@@ -1,7 +1,7 @@
 /** The task of one connection with a router. */
 
 import { logger } from "../common/log.ts";
-import { type ActiveConfiguration, spread } from "../configuration/mod.ts";
+import type { ConfigurationSpread } from "../configuration/mod.ts";
 import type { Message, Resume, Run } from "../protocol/mod.ts";
 import type { Connection } from "../transport/mod.ts";
 import type { Attempts } from "./attempts.ts";
@@ -12,7 +12,7 @@
 
 /** What a session shares with the rest of the process. */
 export interface RouterSessionParts {
-  readonly active: ActiveConfiguration;
+  readonly configurationSpread: ConfigurationSpread;
   readonly attempts: Attempts;
   readonly dispatcher: Dispatcher;
   readonly runner: Runner;
@@ -36,11 +36,11 @@
 
   /** Serves until the connection closes. */
   async serve(): Promise<void> {
-    const { active, attempts, dispatcher } = this.#parts;
+    const { configurationSpread, attempts, dispatcher } = this.#parts;
     attempts.cancelOthers(this.#connection.peer.instance, this.router);
     dispatcher.welcome(this);
     for await (const message of this.#connection.messages) {
-      if (spread.handle(active, this.#connection, message)) continue;
+      if (configurationSpread.handle(this.#connection, message)) continue;
       this.#handle(message);
     }
     dispatcher.drop(this);
@@ -52,8 +52,8 @@
     this.#connection.send({ type: "leaving" });
   }
 
-  sendGrant(grant: number, team: string, expiresMs: number): void {
-    this.#connection.send({ type: "grant", grant, team, expiresMs });
+  sendGrant(grant: number, team: string): void {
+    this.#connection.send({ type: "grant", grant, team });
   }
 
   sendAvailability(free: number, slots: number): void {
@@ -62,33 +62,42 @@
 
   /** Sends a part of an answer. */
   send(message: Message): void {
-    this.#connection.send(message);
+    const named =
+      "attempt" in message
+        ? { ...message, attempt: this.#unqualify(message.attempt) }
+        : message;
+    this.#connection.send(named);
     if (message.type === "end" || message.type === "failed") this.#setBusy();
   }
 
   #handle(message: Message): void {
     const { dispatcher, attempts } = this.#parts;
     switch (message.type) {
-      case "demand": {
-        const { team, count, oldestAgeMs: ageMs } = message;
-        dispatcher.setDemand(this, team, { count, ageMs });
+      case "demand":
+        dispatcher.setDemand(this, message.teams);
         return;
-      }
       case "grant-unused":
         dispatcher.returnGrant(this, message);
         return;
       case "run":
-        this.#run(message);
+        this.#run({ ...message, attempt: this.#qualify(message.attempt) });
         return;
       case "resume":
-        this.#resume(message);
+        this.#resume({ ...message, attempt: this.#qualify(message.attempt) });
+        return;
+      case "acknowledge": {
+        const attempt = attempts.get(this.#qualify(message.attempt));
+        attempt?.buffer.acknowledge(message.offset);
         return;
-      case "acknowledge":
-        attempts.get(message.attempt)?.buffer.acknowledge(message.offset);
+      }
+      case "delivered":
+        for (const name of message.attempts) {
+          attempts.get(this.#qualify(name))?.buffer.abandon();
+        }
         this.#setBusy();
         return;
       case "cancel":
-        this.#cancel(message.attempt);
+        this.#cancel(this.#qualify(message.attempt));
         return;
       default:
         log.warn(`Ignored ${message.type} of router ${this.router}`);
@@ -131,6 +140,15 @@
     this.#setBusy();
   }
 
+  /** Attempts of different routers have different names here. */
+  #qualify(attempt: string): string {
+    return `${this.#connection.peer.incarnation}-${attempt}`;
+  }
+
+  #unqualify(attempt: string): string {
+    return attempt.slice(this.#connection.peer.incarnation.length + 1);
+  }
+
   #setBusy(): void {
     this.#connection.setBusy(this.#parts.attempts.isBusy(this));
   }
--- a/src/transport/connection.ts
+++ b/src/transport/connection.ts
@@ -14,7 +14,7 @@
 /** Time between heartbeats while requests are in progress. */
 const BUSY_HEARTBEAT_MS = 500;
 /** Time between heartbeats otherwise. */
-const IDLE_HEARTBEAT_MS = 2_000;
+const IDLE_HEARTBEAT_MS = 10_000;
 /** Heartbeats that may be missed before a connection counts as silent. */
 const MISSED_HEARTBEATS = 3;
 /** A check that ran this late tells of a pause of this process. */
@@ -37,15 +37,19 @@
   readonly #decoder = new FrameDecoder(FRAME_LIMIT_BYTES);
   readonly #received = new AsyncQueue<Message>();
   #peer: Identity | null = null;
+  #idleMs = IDLE_HEARTBEAT_MS;
   #busy = false;
   #corked = false;
   #closedBecause: string | null = null;
   #lastReceivedMs: number;
   #lastCheckMs: number;
-  #lastHeartbeatMs = 0;
+  #lastSentMs = 0;
   /** Time to the next heartbeat that the peer was told. */
   #announcedMs = IDLE_HEARTBEAT_MS;
   #peerNextMs = IDLE_HEARTBEAT_MS;
+  #peerBusy = false;
+  #announcedBusy = false;
+  #busySinceMs = 0;
   #timer: NodeJS.Timeout | null = null;
 
   constructor(socket: Socket, owner: ConnectionOwner) {
@@ -87,18 +91,27 @@
     this.announce();
   }
 
+  /** Sets the time between heartbeats while nothing is in progress. */
+  setIdleHeartbeat(idleMs: number): void {
+    this.#idleMs = Math.min(idleMs, IDLE_HEARTBEAT_MS);
+  }
+
   /** Beats faster while requests are in progress on this connection. */
   setBusy(busy: boolean): void {
+    if (busy && !this.#busy) {
+      this.#busySinceMs = this.#owner.clock.monotonicMs();
+    }
     this.#busy = busy;
   }
 
   /** Sends a heartbeat now, with the configuration version in force. */
   announce(): void {
-    this.#lastHeartbeatMs = this.#owner.clock.monotonicMs();
-    this.#announcedMs = this.#busy ? BUSY_HEARTBEAT_MS : IDLE_HEARTBEAT_MS;
+    this.#announcedMs = this.#paceMs;
+    this.#announcedBusy = this.#busy;
     this.send({
       type: "heartbeat",
       nextMs: this.#announcedMs,
+      busy: this.#busy,
       configurationVersion: this.#owner.configurationVersion(),
     });
   }
@@ -106,6 +119,7 @@
   /** Sends a message; dropped when the connection is closed. */
   send(message: Message): void {
     if (this.#closedBecause !== null) return;
+    this.#lastSentMs = this.#owner.clock.monotonicMs();
     const frame = codec.encode(message);
     this.#owner.traffic.count(message, frame.length);
     this.#cork();
@@ -164,8 +178,26 @@
     this.#received.push(message);
   }
 
-  #acceptHeartbeat(heartbeat: Heartbeat): void {
-    this.#peerNextMs = Math.min(heartbeat.nextMs, IDLE_HEARTBEAT_MS);
+  #acceptHeartbeat({ nextMs, busy }: Heartbeat): void {
+    this.#peerNextMs = Math.min(nextMs, IDLE_HEARTBEAT_MS);
+    this.#peerBusy = busy;
+  }
+
+  /** Either end's work makes both beat fast. */
+  get #paceMs(): number {
+    const busy = this.#busy || this.#peerBusy;
+    return busy ? BUSY_HEARTBEAT_MS : this.#idleMs;
+  }
+
+  /** Milliseconds for which a peer that works has not been heard. */
+  #silence(nowMs: number): { readonly ms: number; readonly limitMs: number } {
+    if (!this.#busy) {
+      const limitMs = this.#peerNextMs * MISSED_HEARTBEATS;
+      return { ms: nowMs - this.#lastReceivedMs, limitMs };
+    }
+    const sinceMs = Math.max(this.#lastReceivedMs, this.#busySinceMs);
+    const limitMs = BUSY_HEARTBEAT_MS * MISSED_HEARTBEATS + CHECK_MS;
+    return { ms: nowMs - sinceMs, limitMs };
   }
 
   #check(): void {
@@ -174,15 +206,17 @@
     this.#lastCheckMs = nowMs;
     // After a pause of this process, what the peer sent is still unread.
     if (lateMs > PAUSE_MS) this.#lastReceivedMs = nowMs;
-    const silentMs = nowMs - this.#lastReceivedMs;
-    if (silentMs > this.#peerNextMs * MISSED_HEARTBEATS) {
+    const { ms: silentMs, limitMs } = this.#silence(nowMs);
+    if (silentMs > limitMs) {
       this.close(`Peer was silent for ${Math.round(silentMs)} ms`);
       return;
     }
-    const everyMs = this.#busy ? BUSY_HEARTBEAT_MS : IDLE_HEARTBEAT_MS;
+    const everyMs = this.#paceMs;
+    // Any message shows life: heartbeats fill the pauses only.
     // The peer counts on the interval it was told, also when that has grown.
     const dueMs = Math.min(everyMs, this.#announcedMs);
-    const due = nowMs - this.#lastHeartbeatMs + CHECK_MS > dueMs;
-    if (due || everyMs < this.#announcedMs) this.announce();
+    const due = nowMs - this.#lastSentMs + CHECK_MS > dueMs;
+    const news = this.#busy !== this.#announcedBusy;
+    if (due || news || everyMs < this.#announcedMs) this.announce();
   }
 }
--- a/stand_ins/platform/faults.ts
+++ b/stand_ins/platform/faults.ts
@@ -6,6 +6,8 @@
   outage: boolean;
   /** Every call of the object API is accepted and never answered. */
   silent: boolean;
+  /** Reads and watches answer with the version before the last one. */
+  stale: boolean;
   /** Added to each answer of the object API. */
   delayMs: number;
   /** Writes that take effect and whose answer is lost. */
@@ -21,6 +23,7 @@
   return {
     outage: false,
     silent: false,
+    stale: false,
     delayMs: 0,
     loseAnswers: 0,
     listLagMs: 0,
--- a/stand_ins/platform/objects.ts
+++ b/stand_ins/platform/objects.ts
@@ -7,8 +7,9 @@
 const SIZE_LIMIT_BYTES = 1024 * 1024;
 
 interface StoredObject {
-  version: number;
-  text: string;
+  readonly version: number;
+  readonly text: string;
+  readonly before: StoredObject | null;
 }
 
 /** The object API. */
@@ -31,13 +32,22 @@
     this.calls += 1;
     const name = url.pathname;
     if (request.method === "PUT") await this.#put(name, request, response);
-    else if (url.searchParams.has("watch")) {
+    else if (request.method === "DELETE") {
+      this.#objects.delete(name);
+      response.writeHead(200).end();
+    } else if (url.searchParams.has("watch")) {
       await this.#watch(name, url, response);
     } else this.#get(name, response);
   }
 
-  #get(name: string, response: ServerResponse): void {
+  /** What reads see: the object, or the one before if reads are stale. */
+  #seen(name: string): StoredObject | undefined {
     const stored = this.#objects.get(name);
+    return this.#faults.stale ? (stored?.before ?? stored) : stored;
+  }
+
+  #get(name: string, response: ServerResponse): void {
+    const stored = this.#seen(name);
     if (stored === undefined) {
       response.writeHead(404).end();
       return;
@@ -53,7 +63,7 @@
   ): Promise<void> {
     const after = Number(url.searchParams.get("watch"));
     const timeoutMs = Number(url.searchParams.get("timeoutMs") ?? 0);
-    const version = () => this.#objects.get(name)?.version ?? 0;
+    const version = () => this.#seen(name)?.version ?? 0;
     if (version() <= after && timeoutMs > 0) {
       await this.#changed(name, timeoutMs, response);
     }
@@ -103,7 +113,8 @@
       return;
     }
     const version = (stored?.version ?? 0) + 1;
-    this.#objects.set(name, { version, text });
+    const before = stored === undefined ? null : { ...stored, before: null };
+    this.#objects.set(name, { version, text, before });
     for (const wake of [...(this.#waiting.get(name) ?? [])]) wake();
     if (this.#faults.loseAnswers > 0) {
       this.#faults.loseAnswers -= 1;
--- a/tests/fairness/ledger_test.ts
+++ b/tests/fairness/ledger_test.ts
@@ -3,8 +3,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import fc from "fast-check";
-import { Ledger } from "../../src/fairness/mod.ts";
-import type { LedgerEntry } from "../../src/protocol/mod.ts";
+import { Ledger, type LedgerEntry } from "../../src/fairness/mod.ts";
 
 const SEED = 4711;
 const TOLERANCE = 1e-6;
--- a/tests/scenarios/configuration.feature
+++ b/tests/scenarios/configuration.feature
@@ -42,3 +42,24 @@
     Then every process has that version within 8 s
     And 3000 ms pass
     And no process is behind that version
+
+  Scenario: The store answers from an old version
+    Given seed 66
+    And a desk fleet of 2 routers, 2 replicas and 2 slots
+    When an operator applies a change
+    And every process has that version within 8 s
+    And the platform answers from the version before
+    And router 0 is killed
+    And router 0 restarts
+    Then every process has that version within 8 s
+    And 3000 ms pass
+    And no process is behind that version
+
+  Scenario: The store is down for long and comes back
+    Given seed 67
+    And a desk fleet of 2 routers, 1 replica and 2 slots
+    When the platform hangs
+    And 5000 ms pass
+    And the platform works
+    And an operator applies a change
+    Then every process has that version within 8 s
--- /dev/null
+++ b/tests/scenarios/fairness.feature
@@ -0,0 +1,55 @@
+Feature: The service gap stays bounded and no team starves
+
+  Scenario: One team floods through one router, tokens metered
+    Given seed 101
+    And a desk fleet of 2 routers, 2 replicas and 2 slots
+    When team 16 floods router 0 with 100 times its share for 8 s
+    And 6 teams keep 2 requests waiting through router 1 for 8 s
+    Then every request of those teams started within 5 s
+    And the gap between any two teams that waited is under its bound
+    And no caller has a wrong answer
+
+  Scenario: One team floods through one router, completed requests metered
+    Given seed 102
+    And a shop fleet of 2 routers, 2 replicas and 2 slots
+    When team 16 floods router 0 with 100 times its share for 8 s
+    And 6 teams keep 2 requests waiting through router 1 for 8 s
+    Then every request of those teams started within 5 s
+    And the gap between any two teams that waited is under its bound
+    And no caller has a wrong answer
+
+  Scenario: A side process restarts empty in the middle
+    Given seed 103
+    And a desk fleet of 2 routers, 3 replicas and 2 slots
+    When team 16 floods router 0 with 100 times its share for 10 s
+    And 6 teams keep 2 requests waiting through router 1 for 10 s
+    And 4000 ms pass
+    And side process 0 is killed
+    And side process 0 restarts
+    Then every request of those teams started within 5 s
+    And no caller has a wrong answer
+
+  Scenario: A side process is cut off and comes back
+    Given seed 104
+    And links in front of each side-process
+    And a desk fleet of 2 routers, 3 replicas and 2 slots
+    When team 16 floods router 0 with 100 times its share for 12 s
+    And 6 teams keep 2 requests waiting through router 1 for 12 s
+    And 2000 ms pass
+    And the way to side process 0 is cut off
+    And 4000 ms pass
+    And the way to side process 0 heals
+    Then every request of those teams started within 5 s
+    And no caller has a wrong answer
+
+  Scenario: The router that is flooded pauses and rejoins
+    Given seed 105
+    And a desk fleet of 2 routers, 2 replicas and 2 slots
+    When team 16 floods router 0 with 100 times its share for 10 s
+    And 6 teams keep 2 requests waiting through router 1 for 10 s
+    And 2000 ms pass
+    And router 0 pauses
+    And 4000 ms pass
+    And router 0 resumes
+    Then every request of those teams started within 5 s
+    And no caller has a wrong answer
--- a/tests/scenarios/idempotency_key.feature
+++ b/tests/scenarios/idempotency_key.feature
@@ -108,3 +108,14 @@
     And side process 2 resumes
     Then every repeat gets the stored answer, still running or outcome unknown
     And no key runs twice
+
+  Scenario: Answers to lease renewals are lost
+    Given seed 90
+    And a desk fleet of 2 routers, 2 replicas and 8 slots
+    When 16 callers send keyed requests of 20 ms through router 0
+    And the keyed callers have their answers
+    And the platform loses the next 12 answers
+    And 6000 ms pass
+    And 16 callers repeat their keys for 20 ms through router 1
+    Then every repeat gets the stored answer
+    And no key runs twice
--- a/tests/scenarios/silent_connections.feature
+++ b/tests/scenarios/silent_connections.feature
@@ -64,3 +64,12 @@
     When the connections to the platform go silent
     And an operator applies a change
     Then every process has that version within 30 s
+
+  Scenario: From callers, in mid-stream
+    Given seed 27
+    And links in front of each router
+    And a desk fleet of 1 router, 1 replica and 8 slots
+    When 4 callers send streams of 20000 tokens with 3000 ms to go
+    And 4 requests run
+    And the connections of callers to router 0 go silent
+    Then within 6 s every run at the backend servers has ended
--- a/tests/scenarios/steps/caller_steps.ts
+++ b/tests/scenarios/steps/caller_steps.ts
@@ -44,6 +44,24 @@
       world.keepSending(concurrency, { ...plain(world), workMs });
     },
   );
+  steps.define(
+    "{int} callers send streams of {int} tokens with {int} ms to go",
+    (world, count: number, tokens: number, deadlineMs: number) => {
+      const headers = { "oriole-deadline-ms": String(deadlineMs) };
+      const gone = new AbortController();
+      world.onClose(() => gone.abort());
+      const { signal } = gone;
+      repeat(count, () => world.call({ tokens, headers, signal }));
+    },
+  );
+  steps.define(
+    "within {int} s every run at the backend servers has ended",
+    async (world, seconds: number) => {
+      await until("every run has ended", seconds * 1_000, {
+        holds: async () => (await unfinished(world)) === 0,
+      });
+    },
+  );
   steps.define("the callers stop", async (world) => {
     await world.stopSending();
   });
@@ -63,6 +81,16 @@
   });
 }
 
+async function unfinished(world: World): Promise<number> {
+  const lists = await Promise.all(
+    world.fleet.backends.map(async ({ url }) => {
+      const response = await fetch(`${url}/executions`);
+      return (await response.json()) as { finishedAt: number | null }[];
+    }),
+  );
+  return lists.flat().filter(({ finishedAt }) => finishedAt === null).length;
+}
+
 function plain(world: World): { service: string; idempotent: false } {
   const service = world.fleet.plan.services.find(
     ({ type }) => type === "plain",
--- a/tests/scenarios/steps/mod.ts
+++ b/tests/scenarios/steps/mod.ts
@@ -5,6 +5,7 @@
 import { addCallerSteps } from "./caller_steps.ts";
 import { addConfigurationSteps } from "./configuration_steps.ts";
 import { addCrashSteps } from "./crash_steps.ts";
+import { addFairnessSteps } from "./fairness_steps.ts";
 import { addFleetSteps } from "./fleet_steps.ts";
 import { addKeySteps } from "./key_steps.ts";
 import { addLinkSteps } from "./link_steps.ts";
@@ -16,6 +17,7 @@
   const steps = new StepRegistry<World>();
   addFleetSteps(steps);
   addCrashSteps(steps);
+  addFairnessSteps(steps);
   addKeySteps(steps);
   addLinkSteps(steps);
   addCallerSteps(steps);
--- a/tests/support/world.ts
+++ b/tests/support/world.ts
@@ -10,6 +10,7 @@
 import { Fleet, keyOf } from "../../tools/fleet/fleet.ts";
 import type { LinkPlace, Plan } from "../../tools/fleet/plan.ts";
 import { type CallResult, chat, send } from "../../tools/load/caller.ts";
+import type { LoadRecord } from "../../tools/load/workload.ts";
 import type { CallRecord } from "./call_record.ts";
 import type { ScenarioWorld } from "./feature.ts";
 
@@ -27,6 +28,7 @@
   readonly text?: string;
   readonly workMs?: number;
   readonly headers?: Readonly<Record<string, string>>;
+  readonly signal?: AbortSignal;
 }
 
 /** Sizes of a scenario's fleet. */
@@ -45,6 +47,7 @@
   #fleet: Fleet | null = null;
   #texts = 0;
   #sending: { stop: () => void; done: Promise<void> } | null = null;
+  readonly #loads = new Map<string, Promise<LoadRecord[]>>();
   readonly #closers: (() => void)[] = [];
   /** Notes that later steps read. */
   readonly notes = new Map<string, number>();
@@ -139,6 +142,16 @@
     await Promise.all(this.calls.map(({ ended }) => ended));
   }
 
+  /** Notes a load that runs beside the steps. */
+  noteLoad(name: string, records: Promise<LoadRecord[]>): void {
+    this.#loads.set(name, records);
+  }
+
+  /** Waits for a load and returns its records. */
+  async loadOf(name: string): Promise<LoadRecord[]> {
+    return (await this.#loads.get(name)) ?? [];
+  }
+
   /** Registers what a step started and must end. */
   onClose(closer: () => void): void {
     this.#closers.push(closer);
@@ -168,6 +181,7 @@
       link?.heal();
     }
     await this.#fleet.stop();
+    await Promise.allSettled(this.#loads.values());
     await Promise.allSettled(this.calls.map(({ ended }) => ended));
   }
 
@@ -217,6 +231,7 @@
     ...{ url, key, headers, maxTokens, stream },
     model: service,
     prompt: text,
+    ...(options.signal === undefined ? {} : { signal: options.signal }),
   });
   return { bodyHash: hash(JSON.stringify(body)), result };
 }
--- /dev/null
+++ b/tests/transport/handshake_test.ts
@@ -0,0 +1,148 @@
+/** Strangers and garbage are dropped, with one log line, and harm nothing. */
+
+import assert from "node:assert/strict";
+import { connect, type Socket } from "node:net";
+import { test } from "node:test";
+import { systemClock } from "../../src/common/clock.ts";
+import {
+  type Connection,
+  type ConnectionOwner,
+  type Credentials,
+  Dialer,
+  Listener,
+  Traffic,
+} from "../../src/transport/mod.ts";
+import { freePorts } from "../../tools/fleet/ports.ts";
+import { until } from "../../tools/fleet/until.ts";
+
+const FLEET_KEY = "the-fleet-key-of-this-test";
+const TIMEOUT_MS = 5_000;
+
+function createCredentials(
+  instance: string,
+  fleetKey = FLEET_KEY,
+): Credentials {
+  return {
+    identity: {
+      role: "router",
+      instance,
+      incarnation: `incarnation of ${instance}`,
+      availabilityZone: "zone",
+      service: "",
+    },
+    fleetKey,
+  };
+}
+
+function createOwner(): ConnectionOwner {
+  return {
+    clock: systemClock,
+    traffic: new Traffic(),
+    configurationVersion: () => 1,
+  };
+}
+
+interface Served {
+  readonly listener: Listener;
+  readonly port: number;
+  readonly peers: string[];
+}
+
+async function createListener(): Promise<Served> {
+  const peers: string[] = [];
+  const serve = async (connection: Connection) => {
+    peers.push(connection.peer.instance);
+    for await (const _ of connection.messages);
+  };
+  const listener = new Listener(createCredentials("listener"), createOwner(), {
+    serve,
+  });
+  const [port] = (await freePorts(1)) as [number];
+  await listener.listen({ host: "127.0.0.1", port });
+  return { listener, port, peers };
+}
+
+function createDialer(fleetKey: string): Dialer {
+  const credentials = createCredentials("dialer", fleetKey);
+  return new Dialer(credentials, createOwner(), {
+    serve: async (connection) => {
+      for await (const _ of connection.messages);
+    },
+  });
+}
+
+async function closed(socket: Socket): Promise<void> {
+  await until("the listener closes the connection", TIMEOUT_MS, {
+    holds: () => socket.destroyed,
+  });
+}
+
+test("a peer with the fleet key is served, one without is not", async () => {
+  const { listener, port, peers } = await createListener();
+  const stranger = createDialer("another-key-of-some-length");
+  void stranger.run({ host: "127.0.0.1", port });
+  const friend = createDialer(FLEET_KEY);
+  void friend.run({ host: "127.0.0.1", port });
+  await until("the friend is served", TIMEOUT_MS, {
+    holds: () => peers.length > 0,
+  });
+  stranger.close();
+  friend.close();
+  await listener.close();
+  assert.deepEqual(peers, ["dialer"]);
+});
+
+test("garbage closes its own connection only", async () => {
+  const { listener, port, peers } = await createListener();
+  const friend = createDialer(FLEET_KEY);
+  void friend.run({ host: "127.0.0.1", port });
+  await until("the friend is served", TIMEOUT_MS, {
+    holds: () => peers.length === 1,
+  });
+  const garbage = [
+    Buffer.from("GET / HTTP/1.1\r\n\r\n"),
+    Buffer.from([0, 0, 0, 3, 1, 2, 3]),
+    Buffer.from([255, 255, 255, 255]),
+    Buffer.alloc(100_000, 7),
+  ];
+  for (const bytes of garbage) {
+    const socket = connect(port, "127.0.0.1");
+    socket.on("error", () => undefined);
+    socket.resume();
+    socket.write(bytes);
+    await closed(socket);
+  }
+  assert.deepEqual(peers, ["dialer"]);
+  friend.close();
+  await listener.close();
+});
+
+test("a listener that knows the key is not taken at its word", async () => {
+  // A stranger that only echoes what it is sent proves nothing.
+  const { createServer } = await import("node:net");
+  const echo = createServer((socket) => {
+    socket.on("error", () => undefined);
+    socket.pipe(socket);
+  });
+  const [port] = (await freePorts(1)) as [number];
+  await new Promise<void>((resolve) => {
+    echo.listen(port, "127.0.0.1", () => resolve());
+  });
+  let served = 0;
+  const dialer = new Dialer(createCredentials("dialer"), createOwner(), {
+    serve: async () => {
+      served += 1;
+    },
+  });
+  let connections = 0;
+  echo.on("connection", () => {
+    connections += 1;
+  });
+  void dialer.run({ host: "127.0.0.1", port });
+  await until("the dialer has tried twice", TIMEOUT_MS, {
+    holds: () => connections >= 2,
+  });
+  assert.equal(served, 0);
+  dialer.close();
+  echo.close();
+});
--- a/tools/fleet/child.ts
+++ b/tools/fleet/child.ts
@@ -7,6 +7,8 @@
 
 const ROOT = new URL("../../", import.meta.url);
 const STOP_TIMEOUT_MS = 10_000;
+/** As in the first line of src/main.ts: most garbage is short-lived. */
+const NODE_FLAGS = ["--max-semi-space-size=4"];
 /** Lines of a process's log that are kept. */
 const LOG_LINES = 400;
 
@@ -28,7 +30,7 @@
   /** Starts a script of the build with node. */
   static start(name: string, script: string, args: readonly string[]): Child {
     const path = fileURLToPath(new URL(script, ROOT));
-    const child = spawn(process.execPath, [path, ...args], {
+    const child = spawn(process.execPath, [...NODE_FLAGS, path, ...args], {
       stdio: ["ignore", "ignore", "pipe"],
     });
     return new Child(name, child);
--- a/tools/fleet/fleet.ts
+++ b/tools/fleet/fleet.ts
@@ -20,7 +20,8 @@
 
 const START_TIMEOUT_MS = 30_000;
 const APPLY_TIMEOUT_MS = 20_000;
-const FLEET_KEY = "fleet-key-of-the-loopback-fleet";
+/** Shared by the processes of the loopback fleet. */
+export const FLEET_KEY = "fleet-key-of-the-loopback-fleet";
 const HOST = "127.0.0.1";
 
 /** Key of the operators' endpoints. */
@@ -126,11 +127,10 @@
     expected: number | null,
   ): Promise<Result<number, ApplyError>> {
     const store = new ObjectStore(`http://${HOST}:${this.#platformPort}`);
-    const text = JSON.stringify(document, null, 2);
     const deadline = new Deadline(systemClock, APPLY_TIMEOUT_MS);
     const applied = await apply(
       store,
-      { text, operator: "launcher", comment: "", expected },
+      { document, operator: "launcher", comment: "", expected },
       { clock: systemClock, deadline },
     );
     await store.close();
@@ -296,7 +296,10 @@
     });
     const entry = { host: HOST, port: entryPort };
     const file = await this.#writeSettings(instance, { entry });
-    this.routers.push(this.#member(instance, "router", { file, link: null }));
+    const link = this.plan.links?.includes("router")
+      ? await Link.start(entryPort)
+      : null;
+    this.routers.push(this.#member(instance, "router", { file, link }));
     await this.register(instance);
   }
 
@@ -341,7 +344,10 @@
       Child.start(instance.name, "src/main.js", [command, "--settings", file]);
     const member: Member = {
       instance,
-      url: command === "router" ? `http://${HOST}:${instance.port}` : "",
+      url:
+        command === "router"
+          ? `http://${HOST}:${link?.port ?? instance.port}`
+          : "",
       adminUrl: `http://${HOST}:${instance.adminPort}`,
       link,
       child: start(),
--- a/tools/fleet/plan.ts
+++ b/tools/fleet/plan.ts
@@ -14,7 +14,7 @@
 }
 
 /** Where links stand that a test can disturb. */
-export type LinkPlace = "side-process" | "backend" | "platform";
+export type LinkPlace = "router" | "side-process" | "backend" | "platform";
 
 /** A whole fleet. */
 export interface Plan {
--- a/tools/fleet/ports.ts
+++ b/tools/fleet/ports.ts
@@ -1,25 +1,35 @@
 /** Free ports on loopback. */
 
-import { createServer, type Server } from "node:net";
-import { portOf } from "../../stand_ins/http.ts";
+import { createServer } from "node:net";
 
-/** Returns ports that were free a moment ago, each one different. */
+/** Below the ports that the system gives to outgoing connections. */
+const FIRST_PORT = 12_000;
+const PORTS_PER_PROCESS = 100;
+/** Processes that start fleets at once take ports of their own. */
+const BLOCKS = 200;
+
+const block = process.pid % BLOCKS;
+let taken = 0;
+
+/** Returns ports that are free, each one different. */
 export async function freePorts(count: number): Promise<number[]> {
-  const servers = await Promise.all(Array.from({ length: count }, listen));
-  const ports = servers.map((server) => portOf(server as never));
-  await Promise.all(servers.map(close));
+  const ports: number[] = [];
+  for (let tries = 0; ports.length < count; tries += 1) {
+    if (tries > count + PORTS_PER_PROCESS) {
+      throw new Error(`Found ${ports.length} of ${count} free ports`);
+    }
+    const port =
+      FIRST_PORT + block * PORTS_PER_PROCESS + (taken % PORTS_PER_PROCESS);
+    taken += 1;
+    if (await isFree(port)) ports.push(port);
+  }
   return ports;
 }
 
-async function listen(): Promise<Server> {
+async function isFree(port: number): Promise<boolean> {
   const server = createServer();
-  await new Promise<void>((resolve, reject) => {
-    server.once("error", reject);
-    server.listen(0, "127.0.0.1", () => resolve());
+  return await new Promise((resolve) => {
+    server.once("error", () => resolve(false));
+    server.listen(port, "127.0.0.1", () => server.close(() => resolve(true)));
   });
-  return server;
-}
-
-async function close(server: Server): Promise<void> {
-  await new Promise((resolve) => server.close(resolve));
 }
--- a/tools/load/workload.ts
+++ b/tools/load/workload.ts
@@ -76,6 +76,29 @@
   return await Promise.all(calls);
 }
 
+/** Keeps `concurrency` requests of every team in progress. */
+export async function runClosed(
+  loads: readonly TeamLoad[],
+  options: LoadOptions,
+  { concurrency }: { readonly concurrency: number },
+): Promise<LoadRecord[]> {
+  const untilMs = performance.now() + options.durationMs;
+  const records: LoadRecord[] = [];
+  const loops = loads.flatMap((load, index) => {
+    const random = new Random(options.seed * 1_000 + index);
+    let number = 0;
+    const loop = async () => {
+      while (performance.now() < untilMs) {
+        number += 1;
+        records.push(await once(load, random, { options, number }));
+      }
+    };
+    return Array.from({ length: concurrency }, loop);
+  });
+  await Promise.all(loops);
+  return records;
+}
+
 interface Arrivals {
   readonly startMs: number;
   readonly options: LoadOptions;
