--- a/bench/control.ts
+++ b/bench/control.ts
@@ -4,6 +4,8 @@
 import type { Member } from "../tools/fleet/fleet.ts";
 import { type Fleet, OPERATOR_KEY } from "../tools/fleet/fleet.ts";
 
+const SLOT_STATES = ["running", "granted", "idle", "paused"];
+
 /** What one process had sent at one moment. */
 export interface MemberReading {
   readonly role: string;
@@ -13,6 +15,8 @@
   readonly platformCalls: number;
   readonly cpuSeconds: number;
   readonly residentBytes: number;
+  /** Slot seconds by state; empty for a router. */
+  readonly slotSeconds: Readonly<Record<string, number>>;
 }
 
 /** What all processes had sent. */
@@ -27,6 +31,8 @@
   readonly cpuShare: number;
   readonly residentMegabytes: number;
   readonly messagesByType: Readonly<Record<string, number>>;
+  /** Share of slot time by state, over the whole window. */
+  readonly slotShares: Readonly<Record<string, number>>;
 }
 
 /** Rates by role. */
@@ -85,6 +91,12 @@
     platformCalls: gauge("oriole_platform_calls"),
     cpuSeconds: gauge("oriole_cpu_seconds"),
     residentBytes: gauge("oriole_resident_bytes"),
+    slotSeconds: Object.fromEntries(
+      SLOT_STATES.map((state) => [
+        state,
+        gauge(`oriole_slot_seconds_${state}`),
+      ]),
+    ),
   };
 }
 
@@ -92,6 +104,10 @@
   const seconds = (end.atMs - start.atMs) / 1_000;
   const rate = (a: number, b: number) => (b - a) / seconds;
   const types = Object.keys(end.messages);
+  const spent = SLOT_STATES.map(
+    (state) => (end.slotSeconds[state] ?? 0) - (start.slotSeconds[state] ?? 0),
+  );
+  const all = spent.reduce((sum, one) => sum + one, 0);
   return {
     processes: 1,
     bytesPerSecond: rate(start.totals.controlBytes, end.totals.controlBytes),
@@ -102,6 +118,12 @@
     platformCallsPerSecond: rate(start.platformCalls, end.platformCalls),
     cpuShare: rate(start.cpuSeconds, end.cpuSeconds),
     residentMegabytes: end.residentBytes / 2 ** 20,
+    slotShares: Object.fromEntries(
+      SLOT_STATES.map((state, at) => [
+        state,
+        all === 0 ? 0 : (spent[at] ?? 0) / all,
+      ]),
+    ),
     messagesByType: Object.fromEntries(
       types.map((type) => [
         type,
@@ -124,6 +146,12 @@
     platformCallsPerSecond: average((one) => one.platformCallsPerSecond),
     cpuShare: average((one) => one.cpuShare),
     residentMegabytes: average((one) => one.residentMegabytes),
+    slotShares: Object.fromEntries(
+      SLOT_STATES.map((state) => [
+        state,
+        average((one) => one.slotShares[state] ?? 0),
+      ]),
+    ),
     messagesByType: Object.fromEntries(
       [...types].map((type) => [
         type,
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -9,10 +9,15 @@
 import { measureMemory } from "./memory.ts";
 import { measureSlopes, type Slope } from "./slopes.ts";
 import type { Design } from "./target.ts";
-import { contended, type DeploymentName } from "./workloads.ts";
+import {
+  createWorkload,
+  type DeploymentName,
+  type LoadName,
+} from "./workloads.ts";
 
 interface ContentionCommandOptions {
   readonly deployment: DeploymentName;
+  readonly load: LoadName;
   readonly designs: string;
   readonly seed: string;
   readonly seconds: string;
@@ -56,6 +61,7 @@
     .command(name)
     .description("Teams contend for a service; several designs in one run")
     .option("--deployment <name>", "desk or shop", "desk")
+    .option("--load <name>", "flood or steady", "flood")
     .option("--designs <names>", "designs, by commas", designs.join(","))
     .option("--seed <number>", "seed of the load", "1")
     .option("--seconds <number>", "length of the load", "12")
@@ -88,7 +94,9 @@
 }
 
 async function contention(options: ContentionCommandOptions): Promise<void> {
-  const workload = contended(options.deployment, Number(options.delayMs));
+  const { deployment, load } = options;
+  const delayMs = Number(options.delayMs);
+  const workload = createWorkload(deployment, load, { delayMs });
   const all: ContentionFigures[] = [];
   for (const design of options.designs.split(",") as Design[]) {
     const seed = Number(options.seed);
@@ -103,6 +111,7 @@
   const header = [
     ...["DESIGN", "GAP", "UTILISATION", "ANSWERED", "PER SECOND", "WRONG"],
     ...["LIGHT P95 MS", "ROUTER B/S", "SIDE B/S", "ROUTER CPU", "SIDE CPU"],
+    ...["GRANTED", "NO DEMAND", "PAUSED"],
   ];
   const fixed = (value: number | null | undefined, digits: number) =>
     value === null || value === undefined ? "-" : value.toFixed(digits);
@@ -118,6 +127,9 @@
     fixed(one.control?.["side-process"]?.bytesPerSecond, 0),
     fixed(one.control?.router?.cpuShare, 2),
     fixed(one.control?.["side-process"]?.cpuShare, 2),
+    ...["granted", "idle", "paused"].map((state) =>
+      fixed(one.control?.["side-process"]?.slotShares[state], 3),
+    ),
   ]);
   return table([header, ...rows]);
 }
--- a/bench/workloads.ts
+++ b/bench/workloads.ts
@@ -12,6 +12,8 @@
 /** Demand of a backlogged team, relative to its fair share. */
 const BACKLOGGED = 1.6;
 const TRICKLE = 0.4;
+/** Every team below its share: slots are mostly free. */
+const STEADY = 0.7;
 /** The flood, relative to the flooding team's fair share. */
 const FLOOD = 20;
 const ON_OFF_MS = 1_500;
@@ -30,8 +32,15 @@
 /** Which deployment. */
 export type DeploymentName = "desk" | "shop";
 
-/** Returns a deployment with a flood, backlogged, on/off and light teams. */
-export function contended(name: DeploymentName, delayMs: number): Workload {
+/** How much the teams ask for. */
+export type LoadName = "flood" | "steady";
+
+/** Returns a deployment under a load, links with a delay before its servers. */
+export function createWorkload(
+  name: DeploymentName,
+  loadName: LoadName,
+  { delayMs }: { readonly delayMs: number },
+): Workload {
   const base = name === "desk" ? deskDeployment() : shopDeployment();
   const [model] = base.services;
   if (model === undefined) throw new Error("Deployment has no model service");
@@ -50,9 +59,9 @@
   const capacity = model.replicas * SLOTS * (1_000 / model.stepMs);
   const requests = capacity / MEAN_TOKENS;
   return {
-    name,
+    name: `${name} ${loadName}`,
     plan,
-    loads: createLoads(plan, model.name, requests),
+    loads: createLoads(plan, loadName, requests),
     pricing: pricingOf(plan),
     routerWeights: [6, 2, 1],
     stream: name === "desk",
@@ -71,9 +80,10 @@
 
 function createLoads(
   plan: Plan,
-  service: string,
+  loadName: LoadName,
   requestsPerSecond: number,
 ): TeamLoad[] {
+  const service = plan.services[0]?.name ?? "";
   const weights = plan.document.teams.map(
     ({ contract }) =>
       plan.document.contracts.find(({ name }) => name === contract)?.weight ??
@@ -85,7 +95,8 @@
     const share = (requestsPerSecond * weight) / total;
     const last = index === weights.length - 1;
     const backlogged = index < BACKLOGGED_TEAMS;
-    const factor = last ? FLOOD : backlogged ? BACKLOGGED : TRICKLE;
+    const contended = last ? FLOOD : backlogged ? BACKLOGGED : TRICKLE;
+    const factor = loadName === "steady" ? STEADY : contended;
     return {
       team: name,
       key: keyOf(plan.teams, name),
@@ -95,7 +106,8 @@
       promptCharacters: [100, 2_000],
       tokens: [20, 120],
       hintError: 4,
-      onOffMs: backlogged && index % 4 === 3 ? ON_OFF_MS : 0,
+      onOffMs:
+        loadName === "flood" && backlogged && index % 4 === 3 ? ON_OFF_MS : 0,
     };
   });
 }
--- a/src/platform/instance_list.ts
+++ b/src/platform/instance_list.ts
@@ -51,21 +51,41 @@
   },
 });
 
+/** A list with the tag by which the platform knows it. */
+interface TaggedList {
+  readonly tag: string;
+  readonly instances: readonly Instance[];
+}
+
+const NO_LIST: TaggedList = { tag: "", instances: [] };
+
 /** Reads the list once. */
 export async function read(
   platformUrl: string,
 ): Promise<Result<readonly Instance[], string>> {
+  const list = await readChanged(platformUrl, NO_LIST);
+  return list.map(({ instances }) => instances);
+}
+
+/** Reads the list if it is not the known one; a list that is not costs little. */
+async function readChanged(
+  platformUrl: string,
+  known: TaggedList,
+): Promise<Result<TaggedList, string>> {
   try {
     const response = await request(`${platformUrl}/v1/instances`, {
+      headers: known.tag === "" ? {} : { "if-none-match": known.tag },
       signal: AbortSignal.timeout(READ_TIMEOUT_MS),
     });
     const body = await response.body.text();
+    if (response.statusCode === 304) return ok(known);
     if (response.statusCode !== 200) {
       return err(`Instance list answered status ${response.statusCode}`);
     }
     const checked = schema.check(JSON.parse(body));
     if (checked.isErr()) return err("Instance list is not valid");
-    return ok(checked.value.instances);
+    const tag = String(response.headers.etag ?? "");
+    return ok({ tag, instances: checked.value.instances });
   } catch (error) {
     return err(messageOf(error));
   }
@@ -76,7 +96,7 @@
   readonly #platformUrl: string;
   readonly #clock: Clock;
   readonly #stop = new AbortController();
-  #instances: readonly Instance[] = [];
+  #list = NO_LIST;
   #calls = 0;
   #readAtMs = Number.NEGATIVE_INFINITY;
 
@@ -87,7 +107,7 @@
 
   /** The list as last read. */
   get instances(): readonly Instance[] {
-    return this.#instances;
+    return this.#list.instances;
   }
 
   /** Reads made since the start. */
@@ -104,14 +124,14 @@
   async run(changed: (list: readonly Instance[]) => void): Promise<void> {
     while (!this.#stop.signal.aborted) {
       this.#calls += 1;
-      const list = await read(this.#platformUrl);
+      const list = await readChanged(this.#platformUrl, this.#list);
       if (list.isOk()) {
-        this.#instances = list.value;
+        this.#list = list.value;
         this.#readAtMs = this.#clock.monotonicMs();
-        changed(list.value);
+        changed(list.value.instances);
       }
       const jitter = 0.75 + Math.random() / 2;
-      const sizeMs = this.#instances.length * POLL_PER_INSTANCE_MS;
+      const sizeMs = this.instances.length * POLL_PER_INSTANCE_MS;
       const everyMs = Math.max(SHORTEST_POLL_MS, sizeMs);
       await sleep(everyMs * jitter, this.#stop.signal);
     }
--- a/src/platform/lease.ts
+++ b/src/platform/lease.ts
@@ -95,6 +95,8 @@
 
   /** Renews it if own, acquires it if it is free or has run out. */
   async acquire(): Promise<boolean> {
+    // A lease that still holds is renewed without a read.
+    if (this.remainingMs > 0 && (await this.#write(this.#own))) return true;
     const knows = await this.refresh();
     if (!knows) return false;
     if (!this.isOwn && !this.#isFree()) return false;
--- a/src/router/entry.ts
+++ b/src/router/entry.ts
@@ -8,7 +8,8 @@
 import type { Service } from "../configuration/mod.ts";
 import { CallerAnswer } from "./caller_answer.ts";
 import { badRequest, type Failure } from "./failure.ts";
-import { type Address, type Reader, readBody } from "./reader.ts";
+import type { Address, Reader } from "./reader.ts";
+import { readBody } from "./request_body.ts";
 import type { Serving } from "./serving.ts";
 
 const log = logger("router");
--- a/src/router/reader.ts
+++ b/src/router/reader.ts
@@ -16,10 +16,7 @@
 import type { Header } from "../protocol/mod.ts";
 import type { CallerRequest } from "./caller_request.ts";
 import { badRequest, type Failure, notRun } from "./failure.ts";
-
-const KEY_LENGTH_LIMIT = 255;
-const KIND_LENGTH_LIMIT = 64;
-const DEFAULT_KIND = "default";
+import { type RequestOptions, readOptions } from "./request_options.ts";
 
 /** What the reader needs of its router. */
 export interface ReaderParts {
@@ -38,14 +35,6 @@
   readonly path: string;
 }
 
-interface Options {
-  readonly kind: string;
-  readonly idempotent: boolean | null;
-  readonly idempotencyKey: string;
-  readonly deadlineMs: number | null;
-  readonly costHint: number;
-}
-
 /** Turns HTTP requests into requests of the fleet. */
 export class Reader {
   readonly #parts: ReaderParts;
@@ -143,7 +132,10 @@
 
   #facts(
     request: IncomingMessage,
-    { team, options }: { readonly team: Team; readonly options: Options },
+    {
+      team,
+      options,
+    }: { readonly team: Team; readonly options: RequestOptions },
     { service, path }: Address,
   ): RequestFacts {
     const at = new Date(this.#parts.clock.wallMs());
@@ -167,7 +159,7 @@
       service: Service;
       path: string;
       treatment: Treatment;
-      options: Options;
+      options: RequestOptions;
     },
   ): Result<Admitted, Failure> {
     const { clock, active } = this.#parts;
@@ -204,7 +196,7 @@
 function isIdempotent(
   service: Service,
   treatment: Treatment,
-  options: Options,
+  options: RequestOptions,
 ): boolean {
   const words = [options.idempotent, treatment.idempotent ?? null];
   if (words.includes(false)) return false;
@@ -213,44 +205,6 @@
   return service.idempotent;
 }
 
-function readOptions(request: IncomingMessage): Result<Options, Failure> {
-  const header = (name: string) => {
-    const value = request.headers[name];
-    return Array.isArray(value) ? value.join(",") : value;
-  };
-  const bad = (name: string, rule: string) => {
-    const sentence = `Header ${name} must be ${rule}`;
-    return err(badRequest(400, "bad-header", { sentence }));
-  };
-  const word = header("oriole-idempotent");
-  if (word !== undefined && word !== "true" && word !== "false") {
-    return bad("Oriole-Idempotent", "true or false");
-  }
-  const deadline = header("oriole-deadline-ms");
-  if (deadline !== undefined && !/^[1-9]\d{0,8}$/.test(deadline)) {
-    return bad("Oriole-Deadline-Ms", "a whole number of milliseconds above 0");
-  }
-  const hint = header("oriole-cost-hint") ?? "0";
-  if (!/^\d{1,9}(\.\d{1,6})?$/.test(hint)) {
-    return bad("Oriole-Cost-Hint", "a number of cost units");
-  }
-  const idempotencyKey = header("idempotency-key") ?? "";
-  if (idempotencyKey.length > KEY_LENGTH_LIMIT) {
-    return bad("Idempotency-Key", `at most ${KEY_LENGTH_LIMIT} characters`);
-  }
-  const kind = header("oriole-kind") ?? DEFAULT_KIND;
-  if (kind === "" || kind.length > KIND_LENGTH_LIMIT) {
-    return bad("Oriole-Kind", `1 to ${KIND_LENGTH_LIMIT} characters`);
-  }
-  return ok({
-    kind,
-    idempotent: word === undefined ? null : word === "true",
-    idempotencyKey,
-    deadlineMs: deadline === undefined ? null : Number(deadline),
-    costHint: Number(hint),
-  });
-}
-
 function toHeaders(request: IncomingMessage): Header[] {
   return Object.entries(request.headers).flatMap(([name, value]) => {
     if (value === undefined || name.startsWith("oriole-")) return [];
@@ -258,30 +212,3 @@
     return values.map((one): Header => [name, one]);
   });
 }
-
-/** Reads a body of at most `limitBytes`. */
-export async function readBody(
-  request: IncomingMessage,
-  limitBytes: number,
-): Promise<Result<Buffer, Failure>> {
-  const tooLong = () => {
-    const sentence = `Body is longer than ${limitBytes} bytes`;
-    return err(badRequest(413, "body-too-long", { sentence }));
-  };
-  if (Number(request.headers["content-length"] ?? 0) > limitBytes) {
-    return tooLong();
-  }
-  const pieces: Buffer[] = [];
-  let sizeBytes = 0;
-  try {
-    for await (const piece of request as AsyncIterable<Buffer>) {
-      sizeBytes += piece.length;
-      if (sizeBytes > limitBytes) return tooLong();
-      pieces.push(piece);
-    }
-  } catch {
-    const sentence = "The caller went away before its body was whole";
-    return err(badRequest(400, "body-cut-off", { sentence }));
-  }
-  return ok(Buffer.concat(pieces));
-}
--- a/src/router/serving.ts
+++ b/src/router/serving.ts
@@ -2,66 +2,42 @@
 
 import type { Clock } from "../common/clock.ts";
 import { sleep } from "../common/signal.ts";
-import type { Registry } from "../metrics/mod.ts";
-import type { Failed, Grant, Head, Refused, Run } from "../protocol/mod.ts";
-import type { BurnRecorder } from "../report/mod.ts";
-import type { Lost } from "./answer_event.ts";
-import type { Attempt } from "./attempt.ts";
+import type { Grant, Run } from "../protocol/mod.ts";
 import type { CallerAnswer } from "./caller_answer.ts";
 import type { CallerRequest } from "./caller_request.ts";
-import {
-  deadlinePassed,
-  type Failure,
-  notRun,
-  outcomeUnknown,
-} from "./failure.ts";
+import { Decider } from "./decider.ts";
+import { deadlinePassed, type Failure, notRun } from "./failure.ts";
 import type { Fleet } from "./fleet.ts";
 import * as journey from "./journey.ts";
-import { RetryBudget } from "./retry_budget.ts";
+import { mayHaveRun } from "./outcome.ts";
+import { pass } from "./pass.ts";
+import { Recorder, type RecorderParts } from "./recorder.ts";
 import type { SidePeer } from "./side_peer.ts";
 import { type Binding, WaitingLine } from "./waiting_line.ts";
 
-/** Delivered bytes after which the side process may drop them. */
-const ACKNOWLEDGE_BYTES = 16 * 1024;
 /** Wait before a retry, doubled by each one and jittered. */
 const RETRY_BACKOFF_MS = 25;
 const LONGEST_BACKOFF_MS = 1_000;
 const RETRY_AFTER_MS = 1_000;
 
 /** What serving shares with the rest of the process. */
-export interface ServingParts {
+export interface ServingParts extends RecorderParts {
   readonly clock: Clock;
   readonly fleet: Fleet;
-  readonly metrics: Registry;
-  readonly burn: BurnRecorder;
 }
 
-/** How an attempt ended. */
-type Outcome =
-  | { readonly type: "answered" }
-  | { readonly type: "caller-gone" }
-  | { readonly type: "deadline" }
-  | Refused
-  | Failed
-  | Lost;
-
-/** What to do after an attempt. */
-type Decision =
-  | { readonly type: "done" }
-  | { readonly type: "fail"; readonly failure: Failure }
-  | { readonly type: "requeue"; readonly afterMs: number }
-  | { readonly type: "retry" };
-
 /** One straight task per request. */
 export class Serving {
   readonly #parts: ServingParts;
   readonly #lines = new Map<string, WaitingLine>();
-  readonly #retries = new RetryBudget();
+  readonly #decider = new Decider();
+  readonly #recorder: Recorder;
   /** Requests of each team and service that have not ended. */
   readonly #open = new Map<string, number>();
 
   constructor(parts: ServingParts) {
     this.#parts = parts;
+    this.#recorder = new Recorder(parts);
   }
 
   /** Requests that have not ended. */
@@ -83,18 +59,18 @@
     const path = journey.begin();
     const refused = this.#bounds(request);
     if (refused !== null) {
-      this.#fail(request, answer, { failure: refused, path });
+      this.#recorder.fail(request, answer, { failure: refused, path });
       return;
     }
     const key = `${request.team}\n${request.service.name}`;
     this.#open.set(key, (this.#open.get(key) ?? 0) + 1);
-    this.#retries.earn();
+    this.#decider.earn();
     const failure = await this.#attempts(request, answer, path);
     const open = (this.#open.get(key) ?? 1) - 1;
     if (open === 0) this.#open.delete(key);
     else this.#open.set(key, open);
-    if (failure === null) this.#measure(request, answer, path);
-    else this.#fail(request, answer, { failure, path });
+    if (failure === null) this.#recorder.measure(request, answer, path);
+    else this.#recorder.fail(request, answer, { failure, path });
   }
 
   /** Binds a waiting request to a grant, or gives the grant back. */
@@ -116,13 +92,6 @@
     this.#lines.get(service)?.giveUp({ type: "no-server" });
   }
 
-  /** Services for which requests wait. */
-  get services(): string[] {
-    return [...this.#lines]
-      .filter(([, line]) => !line.empty)
-      .map(([service]) => service);
-  }
-
   /** Returns why a request can't even wait, or null. */
   #bounds(request: CallerRequest): Failure | null {
     const { team, service, maxInProgress, maxWaiting } = request;
@@ -158,8 +127,10 @@
         return failure === null ? null : truthful(failure, path);
       }
       const run = this.#run(request, number, binding.grant);
-      const outcome = await this.#once(binding.peer, run, { request, answer });
-      const decision = this.#decide(request, answer, outcome);
+      this.#line(request.service.name).learned(binding.peer, run.team);
+      const { clock } = this.#parts;
+      const outcome = await pass(binding.peer, run, { request, answer, clock });
+      const decision = this.#decider.decide(request, answer, outcome);
       switch (decision.type) {
         case "done":
           return null;
@@ -169,7 +140,7 @@
           if (run.grant !== 0) await sleep(decision.afterMs);
           break;
         case "retry":
-          path.mayHaveRun ||= outcome.type === "lost" || isUnknown(outcome);
+          path.mayHaveRun ||= mayHaveRun(outcome);
           path.retries += 1;
           await backOff(path.retries);
           break;
@@ -214,158 +185,6 @@
     };
   }
 
-  async #once(
-    peer: SidePeer,
-    run: Run,
-    { request, answer }: { request: CallerRequest; answer: CallerAnswer },
-  ): Promise<Outcome> {
-    const attempt = peer.start(run);
-    this.#line(request.service.name).learned(peer, run.team);
-    const { deadline } = request;
-    const stop = () => attempt.lose("Nobody waits for the answer");
-    const timer = setTimeout(stop, deadline.remainingMs);
-    answer.gone.addEventListener("abort", stop, { once: true });
-    if (answer.gone.aborted) stop();
-    const outcome = await this.#follow(peer, attempt, answer);
-    clearTimeout(timer);
-    answer.gone.removeEventListener("abort", stop);
-    if (outcome.type !== "lost") {
-      peer.finish(attempt);
-      return outcome;
-    }
-    peer.cancel(attempt);
-    if (answer.gone.aborted) return { type: "caller-gone" };
-    return deadline.expired ? { type: "deadline" } : outcome;
-  }
-
-  async #follow(
-    peer: SidePeer,
-    attempt: Attempt,
-    answer: CallerAnswer,
-  ): Promise<Outcome> {
-    const name = attempt.run.attempt;
-    let acknowledged = 0;
-    // Kept back until a body follows: until then, a retry is possible.
-    let head: Head | null = null;
-    const begin = () => {
-      if (head !== null) answer.begin(head);
-      head = null;
-    };
-    const acknowledge = (offset: number) => {
-      acknowledged = offset;
-      peer.send({ type: "acknowledge", attempt: name, offset });
-    };
-    for await (const event of attempt.events) {
-      switch (event.type) {
-        case "head":
-          head = event;
-          break;
-        case "data": {
-          begin();
-          await answer.write(
-            event.bytes as Buffer,
-            this.#parts.clock.monotonicMs(),
-          );
-          const delivered = event.offset + event.bytes.length;
-          if (delivered - acknowledged >= ACKNOWLEDGE_BYTES) {
-            acknowledge(delivered);
-          }
-          break;
-        }
-        case "end":
-          begin();
-          peer.delivered(attempt);
-          answer.end();
-          return { type: "answered" };
-        case "refused":
-        case "failed":
-        case "lost":
-          return event;
-        default:
-          return event satisfies never;
-      }
-    }
-    throw new Error("Attempt ended without an outcome");
-  }
-
-  #decide(
-    request: CallerRequest,
-    answer: CallerAnswer,
-    outcome: Outcome,
-  ): Decision {
-    switch (outcome.type) {
-      case "answered":
-      case "caller-gone":
-        return { type: "done" };
-      case "deadline":
-        return { type: "fail", failure: deadlinePassed("unknown") };
-      case "refused":
-        return this.#decideRefused(request, outcome);
-      case "failed":
-        return this.#decideFailed(request, answer, outcome);
-      case "lost":
-        return this.#decideLost(request, answer, {
-          code: "side-process-lost",
-          sentence: outcome.sentence,
-        });
-      default:
-        return outcome satisfies never;
-    }
-  }
-
-  #decideRefused({ deadline }: CallerRequest, refused: Refused): Decision {
-    const { code, retryAfterMs } = refused;
-    switch (code) {
-      case "busy":
-      case "leaving":
-        return { type: "requeue", afterMs: retryAfterMs };
-      case "unknown-attempt":
-        if (this.#retries.spend()) return { type: "retry" };
-        break;
-      case "deadline":
-        if (!deadline.expired) return { type: "requeue", afterMs: 0 };
-        return { type: "fail", failure: deadlinePassed("not-run") };
-      case "quarantined":
-        break;
-      default:
-        code satisfies never;
-    }
-    const sentence = REFUSAL_SENTENCES[code];
-    const failure = notRun(503, code, { sentence, retryAfterMs });
-    return { type: "fail", failure };
-  }
-
-  #decideFailed(
-    request: CallerRequest,
-    answer: CallerAnswer,
-    failed: Failed,
-  ): Decision {
-    const { outcome, code, sentence, retryAfterMs } = failed;
-    const status = FINAL_STATUSES[code];
-    if (status !== undefined) {
-      const retry = { sentence, retryAfterMs };
-      const failure = { ...notRun(status, code, retry), outcome };
-      return { type: "fail", failure };
-    }
-    if (outcome === "not-run" && !answer.begun) {
-      if (this.#retries.spend()) return { type: "retry" };
-      const failure = notRun(503, code, { sentence, retryAfterMs });
-      return { type: "fail", failure };
-    }
-    return this.#decideLost(request, answer, { code, sentence });
-  }
-
-  /** A request that may have run runs again only if it is idempotent. */
-  #decideLost(
-    { idempotent }: CallerRequest,
-    answer: CallerAnswer,
-    { code, sentence }: { readonly code: string; readonly sentence: string },
-  ): Decision {
-    const again = idempotent && !answer.begun && this.#retries.spend();
-    if (again) return { type: "retry" };
-    return { type: "fail", failure: outcomeUnknown(code, sentence) };
-  }
-
   #line(service: string): WaitingLine {
     const known = this.#lines.get(service);
     if (known !== undefined) return known;
@@ -374,67 +193,8 @@
     this.#lines.set(service, line);
     return line;
   }
-
-  #fail(
-    request: CallerRequest,
-    answer: CallerAnswer,
-    { failure, path }: { failure: Failure; path: journey.Journey },
-  ): void {
-    const { team } = request;
-    const { outcome, code } = failure;
-    const service = request.service.name;
-    const labels = { team, service, outcome, code };
-    this.#parts.metrics.count("oriole_failures_total", labels);
-    answer.fail(failure);
-    this.#parts.burn.record({
-      ...{ service, team },
-      firstTokenMs: null,
-      betweenTokensMs: null,
-      completionMs: null,
-      cause: outcome === "not-run" ? "refused" : journey.cause(path, 0),
-    });
-  }
-
-  #measure(
-    request: CallerRequest,
-    answer: CallerAnswer,
-    path: journey.Journey,
-  ): void {
-    const { clock, metrics, burn } = this.#parts;
-    const { team, arrivedMs } = request;
-    const service = request.service.name;
-    metrics.count("oriole_requests_total", { team, service });
-    const nowMs = clock.monotonicMs();
-    const completionMs = nowMs - arrivedMs;
-    const firstTokenMs = (answer.firstByteAtMs ?? nowMs) - arrivedMs;
-    metrics.observe("oriole_first_byte_seconds", firstTokenMs, { service });
-    metrics.observe("oriole_completion_seconds", completionMs, { service });
-    metrics.observe("oriole_waiting_seconds", path.waitedMs, { service });
-    burn.record({
-      ...{ service, team, firstTokenMs, completionMs },
-      betweenTokensMs: answer.betweenEventsMs,
-      cause: journey.cause(path, completionMs),
-    });
-  }
 }
 
-/** Failures that another attempt can't mend, with their statuses. */
-const FINAL_STATUSES: Readonly<Record<string, number>> = {
-  "key-in-use": 409,
-  "key-mismatch": 422,
-  "key-outcome-unknown": 502,
-  "key-answer-not-kept": 502,
-  "arbiter-unavailable": 503,
-};
-
-const REFUSAL_SENTENCES: Record<Refused["code"], string> = {
-  busy: "Every backend server is busy",
-  leaving: "The backend server is leaving",
-  "unknown-attempt": "The request did not reach its side process",
-  deadline: "The deadline had passed before the request started",
-  quarantined: "The request crashed backend servers before",
-};
-
 function notBound(request: CallerRequest, binding: Binding): Failure | null {
   const retryAfterMs = RETRY_AFTER_MS;
   switch (binding.type) {
@@ -453,10 +213,6 @@
   }
 }
 
-function isUnknown(outcome: Outcome): boolean {
-  return outcome.type === "failed" && outcome.outcome !== "not-run";
-}
-
 /** "Not run" must not be said after an attempt that may have run. */
 function truthful(failure: Failure, path: journey.Journey): Failure {
   if (!path.mayHaveRun || failure.outcome !== "not-run") return failure;
--- a/src/router/side_peer.ts
+++ b/src/router/side_peer.ts
@@ -5,7 +5,7 @@
 import { logger } from "../common/log.ts";
 import type { ConfigurationSpread } from "../configuration/mod.ts";
 import type { Instance } from "../platform/mod.ts";
-import type { Grant, Message, Run } from "../protocol/mod.ts";
+import type { Grant, Message, Refused, Run } from "../protocol/mod.ts";
 import {
   type Connection,
   type ConnectionOwner,
@@ -125,9 +125,7 @@
     this.#free = Math.max(0, this.#free - 1);
     this.send(run);
     this.#setBusy();
-    if (this.#connection === null) {
-      attempt.lose("Connection closed before the request was sent");
-    }
+    if (this.#connection === null) attempt.receive(notSent(run));
     return attempt;
   }
 
@@ -248,3 +246,8 @@
     }
   }
 }
+
+/** Nothing was sent: the attempt can't have run. */
+function notSent({ attempt }: Run): Refused {
+  return { type: "refused", attempt, code: "unknown-attempt", retryAfterMs: 0 };
+}
--- a/src/side_process/attempt.ts
+++ b/src/side_process/attempt.ts
@@ -1,10 +1,7 @@
 /** One attempt of one request at the backend server. */
 
-import type { Result } from "neverthrow";
 import type { Clock } from "../common/clock.ts";
 import { Deadline } from "../common/deadline.ts";
-import { messageOf } from "../common/error_message.ts";
-import { sleep } from "../common/signal.ts";
 import type {
   Failed,
   FailedOutcome,
@@ -14,17 +11,12 @@
   Run,
   StoredAnswer,
 } from "../protocol/mod.ts";
-import { AnswerBuffer } from "./answer_buffer.ts";
-import type { BackendClient, BackendError, Reply } from "./backend_client.ts";
+import { AnswerBuffer, type Piece } from "./answer_buffer.ts";
+import { AnswerReader } from "./answer_reader.ts";
+import type { BackendClient, BackendError } from "./backend_client.ts";
 import type { Charge, Ending } from "./charge.ts";
 import { UsageScanner } from "./usage_scanner.ts";
 
-/** Silence after which a resumable answer is asked for again. */
-const ENGINE_SILENCE_MS = 2_000;
-/** Wait before an engine is asked again after an error. */
-const ENGINE_RETRY_MS = 200;
-/** How long an engine that broke off is asked for the rest. */
-const ENGINE_RESUME_MS = 3_000;
 /** The router gives up first; this process only cleans up after it. */
 const DEADLINE_GRACE_MS = 500;
 
@@ -61,7 +53,6 @@
   #receiver: AnswerReceiver | null;
   #result: AttemptResult | null = null;
   #cancelled = false;
-  #lastByteMs = 0;
 
   constructor(run: Run, parts: AttemptParts, receiver: AnswerReceiver) {
     this.run = run;
@@ -93,7 +84,11 @@
       () => this.#abort.abort("deadline"),
       this.#deadline.remainingMs,
     );
-    const error = await this.#answer();
+    const reader = new AnswerReader(
+      { ...this.#parts, run: this.run, buffer: this.buffer },
+      { head: () => this.#sendHead(), piece: (piece) => this.#pass(piece) },
+    );
+    const error = await reader.read(this.#abort.signal);
     clearTimeout(timer);
     const failure = error === null ? null : await this.#judge(error);
     const ending: Ending = failure === null ? "answered" : "failed";
@@ -115,7 +110,7 @@
     this.buffer.head = { status, headers: [...headers, REPLAYED] };
     this.#sendHead();
     const piece = this.buffer.append(Buffer.from(body));
-    this.#sendPiece(piece.offset, piece.bytes);
+    this.#sendPiece(piece);
     this.buffer.end();
     this.#result = { type: "answered" };
     this.#send(this.#endMessage());
@@ -155,99 +150,12 @@
     this.#receiver = receiver;
     if (!head) this.#sendHead();
     for (const piece of this.buffer.from(offset) ?? []) {
-      this.#sendPiece(piece.offset, piece.bytes);
+      this.#sendPiece(piece);
     }
     if (this.#result?.type === "failed") this.#send(this.#result.failure);
     else if (this.#result !== null) this.#send(this.#endMessage());
   }
 
-  /** Returns null once the answer is whole. */
-  async #answer(): Promise<BackendError | null> {
-    const { backend } = this.#parts;
-    const { signal } = this.#abort;
-    let reply = await this.#head((head) => backend.start(this.run, head));
-    const resumeUntil = () => new Deadline(this.#parts.clock, ENGINE_RESUME_MS);
-    let giveUp = resumeUntil();
-    for (;;) {
-      const before = this.buffer.endOffset;
-      const broken = reply.isErr()
-        ? reply.error
-        : await this.#read(reply.value);
-      if (broken === null) return null;
-      if (this.buffer.endOffset > before) giveUp = resumeUntil();
-      if (broken.type !== "broken" || !backend.resumable) return broken;
-      if (signal.aborted || giveUp.expired) return broken;
-      if (reply.isErr()) await sleep(ENGINE_RETRY_MS, signal);
-      const offset = this.buffer.endOffset;
-      reply = await this.#head((head) =>
-        backend.resume(this.run.attempt, offset, { signal: head }),
-      );
-    }
-  }
-
-  /** Gives a call up that brings no head, so that it is asked for again. */
-  async #head(
-    call: (signal: AbortSignal) => Promise<Result<Reply, BackendError>>,
-  ): Promise<Result<Reply, BackendError>> {
-    const { signal } = this.#abort;
-    if (!this.#parts.backend.resumable) return await call(signal);
-    const silence = new AbortController();
-    const timer = setTimeout(
-      () => silence.abort(new Error("Backend server was silent")),
-      ENGINE_SILENCE_MS,
-    );
-    const reply = await call(AbortSignal.any([signal, silence.signal]));
-    clearTimeout(timer);
-    return reply;
-  }
-
-  /** Passes an answer on; returns what broke it off, or null at its end. */
-  async #read(reply: Reply): Promise<BackendError | null> {
-    if (this.buffer.head === null) {
-      const { status, headers } = reply;
-      this.buffer.head = { status, headers };
-      this.#sendHead();
-    }
-    const stopWatching = this.#watch(reply);
-    try {
-      for await (const bytes of reply.body) {
-        this.#lastByteMs = this.#parts.clock.monotonicMs();
-        this.#pass(bytes);
-        await this.#room();
-      }
-      return null;
-    } catch (error) {
-      return broken(messageOf(error));
-    } finally {
-      stopWatching();
-    }
-  }
-
-  /** Abandons an answer that is silent, so that it is asked for again. */
-  #watch(reply: Reply): () => void {
-    const { backend, clock } = this.#parts;
-    if (!backend.resumable) return () => undefined;
-    this.#lastByteMs = clock.monotonicMs();
-    const timer = setInterval(() => {
-      const silentMs = clock.monotonicMs() - this.#lastByteMs;
-      if (silentMs > ENGINE_SILENCE_MS) reply.abandon();
-    }, ENGINE_SILENCE_MS / 4);
-    return () => clearInterval(timer);
-  }
-
-  /** Waits for the caller; that time is not the server's silence. */
-  async #room(): Promise<void> {
-    await this.buffer.room();
-    this.#lastByteMs = this.#parts.clock.monotonicMs();
-  }
-
-  #pass(bytes: Buffer): void {
-    this.#usage.push(bytes);
-    this.#parts.charge.grow(this.#usage.running);
-    const piece = this.buffer.append(bytes);
-    this.#sendPiece(piece.offset, piece.bytes);
-  }
-
   async #judge(error: BackendError): Promise<Failed> {
     const ran = error.type !== "not-sent" && !this.#cancelled;
     const crashed = ran && (await this.#parts.hasCrashed());
@@ -268,6 +176,12 @@
     };
   }
 
+  #pass(piece: Piece): void {
+    this.#usage.push(piece.bytes);
+    this.#parts.charge.grow(this.#usage.running);
+    this.#sendPiece(piece);
+  }
+
   #endMessage(): Message {
     const { attempt } = this.run;
     return { type: "end", attempt, offset: this.buffer.endOffset };
@@ -280,7 +194,7 @@
     this.#send({ type: "head", attempt, ...head });
   }
 
-  #sendPiece(offset: number, bytes: Buffer): void {
+  #sendPiece({ offset, bytes }: Piece): void {
     const { attempt } = this.run;
     this.#send({ type: "data", attempt, offset, bytes });
   }
@@ -289,7 +203,3 @@
     this.#receiver?.send(message);
   }
 }
-
-function broken(sentence: string): BackendError {
-  return { type: "broken", sentence };
-}
--- a/src/side_process/dispatcher.ts
+++ b/src/side_process/dispatcher.ts
@@ -6,6 +6,7 @@
 import type { GrantUnused, Run, TeamDemand } from "../protocol/mod.ts";
 import { Charge } from "./charge.ts";
 import { DemandBook } from "./demand_book.ts";
+import { SlotClock } from "./slot_clock.ts";
 
 /** How long a router may take to answer a grant. */
 const GRANT_TIMEOUT_MS = 1_000;
@@ -56,6 +57,8 @@
   readonly #demand: DemandBook<GrantReceiver>;
   readonly #estimator = new Estimator();
   readonly #grants = new Map<number, OutstandingGrant>();
+  /** How slot time was spent. */
+  readonly slotClock: SlotClock;
   /** Routers that were told "busy" and wait to hear of free slots. */
   readonly #toldBusy = new Set<GrantReceiver>();
   #lastGrant = 0;
@@ -66,6 +69,7 @@
     this.#parts = parts;
     this.#limits = limits;
     this.#demand = new DemandBook(parts.clock);
+    this.slotClock = new SlotClock(parts.clock, limits.slots);
   }
 
   /** Requests that hold a slot. */
@@ -92,6 +96,7 @@
   setPaused(paused: boolean): void {
     this.#paused = paused;
     if (!paused) this.#fill();
+    this.#noteSlots();
   }
 
   /** Tells a router that has connected how much is free. */
@@ -123,6 +128,7 @@
       grant.charge.expect(run);
       this.#noteDemand(router, run.team, run.waiting);
       this.#running += 1;
+      this.#noteSlots();
       return { type: "admitted", charge: grant.charge };
     }
     if (this.#paused || this.#freeWithoutBacklog() === 0) {
@@ -135,6 +141,7 @@
     charge.expect(run);
     this.#noteWaiting(run.team);
     this.#running += 1;
+    this.#noteSlots();
     return { type: "admitted", charge };
   }
 
@@ -176,6 +183,13 @@
       this.#grant(router, team);
     }
     this.#announceFree();
+    this.#noteSlots();
+  }
+
+  #noteSlots(): void {
+    const granted = this.#grants.size;
+    const paused = this.#paused;
+    this.slotClock.note({ running: this.#running, granted, paused });
   }
 
   #grant(router: GrantReceiver, team: string): void {
--- a/src/side_process/keys/key_leases.ts
+++ b/src/side_process/keys/key_leases.ts
@@ -98,6 +98,7 @@
       return;
     }
     this.#refreshedMs.set(lease, nowMs);
+    await lease.refresh();
     await this.#keep(lease);
   }
 
@@ -123,9 +124,7 @@
       const acquired = await lease.acquire();
       if (!acquired || wasHeld) return;
       this.#heldSinceMs.set(lease, this.#parts.clock.monotonicMs());
-      return;
     }
-    await lease.refresh();
   }
 
   #isFirst(range: number): boolean {
--- a/src/side_process/status.ts
+++ b/src/side_process/status.ts
@@ -5,6 +5,7 @@
 import type { SideProcessSettings } from "../configuration/mod.ts";
 import * as metrics from "../metrics/mod.ts";
 import type { Components } from "./components.ts";
+import { SLOT_STATES } from "./slot_clock.ts";
 
 /** Creates the service container with the operators' endpoints. */
 export function createStatusBroker(
@@ -32,6 +33,11 @@
   });
   registry.gauge("oriole_running", () => dispatcher.running);
   registry.gauge("oriole_ledger_teams", () => ledger.size);
+  for (const state of SLOT_STATES) {
+    registry.gauge(`oriole_slot_seconds_${state}`, () =>
+      dispatcher.slotClock.seconds(state),
+    );
+  }
   registry.gauge("oriole_keys", () => parts.memory.size);
   registry.gauge("oriole_suspects", () => parts.quarantine.size);
 }
--- a/stand_ins/platform/instances.ts
+++ b/stand_ins/platform/instances.ts
@@ -7,6 +7,12 @@
   readonly instances: readonly Instance[];
 }
 
+/** A state of the list with its time. */
+export interface SeenList {
+  readonly atMs: number;
+  readonly list: readonly Instance[];
+}
+
 /** Keeps earlier states, so that the list can lag. */
 export class Instances {
   #snapshots: Snapshot[] = [{ atMs: 0, instances: [] }];
@@ -23,10 +29,10 @@
   }
 
   /** Returns the list as it was `lagMs` ago. */
-  seen(lagMs: number): readonly Instance[] {
-    const atMs = Date.now() - lagMs;
-    const seen = this.#snapshots.findLast((one) => one.atMs <= atMs);
-    return seen?.instances ?? [];
+  seen(lagMs: number): SeenList {
+    const beforeMs = Date.now() - lagMs;
+    const seen = this.#snapshots.findLast((one) => one.atMs <= beforeMs);
+    return { atMs: seen?.atMs ?? 0, list: seen?.instances ?? [] };
   }
 
   #newest(): readonly Instance[] {
@@ -34,6 +40,9 @@
   }
 
   #push(instances: readonly Instance[]): void {
-    this.#snapshots.push({ atMs: Date.now(), instances });
+    // Each state has a time of its own: the time is its tag.
+    const before = this.#snapshots.at(-1)?.atMs ?? 0;
+    const atMs = Math.max(Date.now(), before + 1);
+    this.#snapshots.push({ atMs, instances });
   }
 }
--- a/stand_ins/platform/main.ts
+++ b/stand_ins/platform/main.ts
@@ -65,10 +65,21 @@
   }
   if (faults.delayMs > 0) await delay(faults.delayMs);
   if (url.pathname === "/v1/instances") {
-    sendJson(response, 200, { instances: instances.seen(faults.listLagMs) });
+    sendList(request, response);
   } else await objects.handle(request, response, url);
 }
 
+function sendList(request: IncomingMessage, response: ServerResponse): void {
+  const { atMs, list } = instances.seen(faults.listLagMs);
+  const tag = `"${atMs}"`;
+  if (request.headers["if-none-match"] === tag) {
+    response.writeHead(304, { etag: tag }).end();
+    return;
+  }
+  response.setHeader("etag", tag);
+  sendJson(response, 200, { instances: list });
+}
+
 async function json(request: IncomingMessage): Promise<never> {
   return JSON.parse((await readBody(request)).toString("utf8")) as never;
 }
--- /dev/null
+++ b/tests/side_process/dispatcher_test.ts
@@ -0,0 +1,129 @@
+/** Slots go to the least served team; unused grants come back. */
+
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { type Clock, systemClock } from "../../src/common/clock.ts";
+import { ActiveConfiguration } from "../../src/configuration/mod.ts";
+import { CounterSpread, Ledger } from "../../src/fairness/mod.ts";
+import type { Run } from "../../src/protocol/mod.ts";
+import {
+  Dispatcher,
+  type GrantReceiver,
+} from "../../src/side_process/dispatcher.ts";
+
+interface Granted {
+  readonly grant: number;
+  readonly team: string;
+}
+
+class FakeRouter implements GrantReceiver {
+  readonly grants: Granted[] = [];
+  readonly free: number[] = [];
+
+  sendGrant(grant: number, team: string): void {
+    this.grants.push({ grant, team });
+  }
+
+  sendAvailability(free: number): void {
+    this.free.push(free);
+  }
+}
+
+function createDispatcher(slots: number, ahead = 0): Dispatcher {
+  const clock: Clock = systemClock;
+  const ledger = new Ledger("origin");
+  const spread = new CounterSpread(ledger, clock);
+  const active = new ActiveConfiguration(clock);
+  return new Dispatcher({ clock, active, ledger, spread }, { slots, ahead });
+}
+
+function createRun(team: string, grant: number, waiting = 0): Run {
+  return {
+    type: "run",
+    attempt: "1.1",
+    grant,
+    team,
+    kind: "default",
+    method: "POST",
+    path: "/",
+    headers: [],
+    body: Buffer.alloc(0),
+    idempotent: true,
+    idempotencyKey: "",
+    remainingMs: 1_000,
+    costHint: 0,
+    waiting,
+  };
+}
+
+test("a request is run at once while slots are free and nobody waits", () => {
+  const dispatcher = createDispatcher(2);
+  const router = new FakeRouter();
+  assert.equal(dispatcher.admit(router, createRun("a", 0)).type, "admitted");
+  assert.equal(dispatcher.admit(router, createRun("a", 0)).type, "admitted");
+  assert.equal(dispatcher.admit(router, createRun("a", 0)).type, "busy");
+});
+
+test("who was told busy hears of the next free slot", () => {
+  const dispatcher = createDispatcher(1);
+  const router = new FakeRouter();
+  const first = dispatcher.admit(router, createRun("a", 0));
+  assert.equal(first.type, "admitted");
+  dispatcher.admit(router, createRun("a", 0));
+  assert.deepEqual(router.free, []);
+  if (first.type === "admitted") first.charge.cancel();
+  dispatcher.release();
+  assert.deepEqual(router.free, [1]);
+});
+
+test("teams that wait get slots in turn, whatever their demand", () => {
+  const dispatcher = createDispatcher(4);
+  const router = new FakeRouter();
+  dispatcher.setPaused(true);
+  dispatcher.setDemand(router, [
+    ["flood", 1_000, 0],
+    ["small", 2, 0],
+  ]);
+  dispatcher.setPaused(false);
+  const teams = router.grants.map(({ team }) => team).sort();
+  assert.deepEqual(teams, ["flood", "flood", "small", "small"]);
+});
+
+test("a grant that is not used goes to another team", () => {
+  const dispatcher = createDispatcher(1);
+  const router = new FakeRouter();
+  dispatcher.setDemand(router, [
+    ["a", 1, 0],
+    ["b", 1, 0],
+  ]);
+  const [{ grant, team } = { grant: 0, team: "" }] = router.grants;
+  const unused = { type: "grant-unused", grant, team, waiting: 0 } as const;
+  dispatcher.returnGrant(router, unused);
+  const other = team === "a" ? "b" : "a";
+  assert.equal(router.grants.at(-1)?.team, other);
+  assert.equal(dispatcher.outstanding, 1);
+});
+
+test("nothing is granted while the server is down", () => {
+  const dispatcher = createDispatcher(2);
+  const router = new FakeRouter();
+  dispatcher.setPaused(true);
+  dispatcher.setDemand(router, [["a", 5, 0]]);
+  assert.equal(router.grants.length, 0);
+  assert.equal(dispatcher.admit(router, createRun("a", 0)).type, "busy");
+  dispatcher.setPaused(false);
+  assert.equal(router.grants.length, 2);
+});
+
+test("a router that has gone leaves no demand behind", () => {
+  const dispatcher = createDispatcher(1);
+  const gone = new FakeRouter();
+  const here = new FakeRouter();
+  dispatcher.setPaused(true);
+  dispatcher.setDemand(gone, [["a", 9, 0]]);
+  dispatcher.setDemand(here, [["b", 1, 0]]);
+  dispatcher.drop(gone);
+  dispatcher.setPaused(false);
+  assert.equal(gone.grants.length, 0);
+  assert.equal(here.grants.length, 1);
+});
