Find busy connections without scanning attempts; drop delivered answers

Cause (profile of a side process at 200 requests/s): 9% of a core went to looking through all attempts of the last two minutes for one that is still awaited, at every message. Ruled out: encoding and validation, under 1% each. Change: a session keeps the names it awaits; a delivered attempt leaves its name only, not its body.

--- a/src/side_process/attempts.ts
+++ b/src/side_process/attempts.ts
@@ -27,6 +27,8 @@
   readonly #clock: Clock;
   readonly #known = new Map<string, Known>();
   readonly #refused = new Map<string, Refusal>();
+  /** When attempts ended whose callers have the whole answer. */
+  readonly #delivered = new Map<string, number>();
 
   constructor(clock: Clock) {
     this.#clock = clock;
@@ -79,12 +81,19 @@
     });
   }
 
-  /** Whether a router waits for any answer on this connection. */
-  isBusy(receiver: AnswerReceiver): boolean {
-    for (const { attempt } of this.#known.values()) {
-      if (attempt.receiver === receiver && !attempt.finished) return true;
-    }
-    return false;
+  /** Whether an attempt has started here, also if it is over. */
+  hasStarted(name: string): boolean {
+    return this.#known.has(name) || this.#delivered.has(name);
+  }
+
+  /** Drops an answer that its caller has; its name is kept for a while. */
+  deliver(name: string): void {
+    const attempt = this.get(name);
+    if (attempt === null) return;
+    attempt.buffer.abandon();
+    if (attempt.result === null) return;
+    this.#known.delete(name);
+    this.#delivered.set(name, this.#clock.monotonicMs());
   }
 
   /** Detaches what was sent on a connection that has closed. */
@@ -117,6 +126,10 @@
       if (nowMs - refusal.atMs < REMEMBERED_MS) break;
       this.#refused.delete(name);
     }
+    for (const [name, atMs] of this.#delivered) {
+      if (nowMs - atMs < REMEMBERED_MS) break;
+      this.#delivered.delete(name);
+    }
     for (const [name, known] of this.#known) {
       const { attempt, orphanSinceMs } = known;
       if (orphanSinceMs !== null && nowMs - orphanSinceMs > ORPHAN_MS) {
--- a/src/side_process/dispatcher.ts
+++ b/src/side_process/dispatcher.ts
@@ -201,6 +201,7 @@
       if (grant !== undefined) this.#cancelGrant(id, grant);
       this.#fill();
     }, GRANT_TIMEOUT_MS);
+    timer.unref();
     this.#grants.set(id, { team, charge, timer });
     this.#noteWaiting(team);
     router.sendGrant(id, team);
--- a/src/side_process/router_session.ts
+++ b/src/side_process/router_session.ts
@@ -22,6 +22,8 @@
 export class RouterSession implements GrantReceiver {
   readonly #parts: RouterSessionParts;
   readonly #connection: Connection;
+  /** Attempts whose answers this router waits for. */
+  readonly #awaited = new Set<string>();
 
   constructor(connection: Connection, parts: RouterSessionParts) {
     this.#connection = connection;
@@ -67,7 +69,9 @@
         ? { ...message, attempt: this.#unqualify(message.attempt) }
         : message;
     this.#connection.send(named);
-    if (message.type === "end" || message.type === "failed") this.#setBusy();
+    if (message.type === "failed" || message.type === "refused") {
+      this.#settle(message.attempt);
+    }
   }
 
   #handle(message: Message): void {
@@ -92,9 +96,9 @@
       }
       case "delivered":
         for (const name of message.attempts) {
-          attempts.get(this.#qualify(name))?.buffer.abandon();
+          attempts.deliver(this.#qualify(name));
+          this.#settle(this.#qualify(name));
         }
-        this.#setBusy();
         return;
       case "cancel":
         this.#cancel(this.#qualify(message.attempt));
@@ -106,19 +110,20 @@
 
   #run(run: Run): void {
     const { attempts, runner } = this.#parts;
-    if (attempts.get(run.attempt) !== null) return;
+    if (attempts.hasStarted(run.attempt)) return;
     const earlier = attempts.refusal(run.attempt);
+    this.#await(run.attempt);
     const refused = earlier ?? runner.refusal(this, run);
-    if (refused !== null) {
-      this.send(refused);
-      return;
-    }
-    this.#connection.setBusy(true);
+    if (refused !== null) this.send(refused);
   }
 
   #resume(message: Resume): void {
     const { attempts } = this.#parts;
     const attempt = attempts.get(message.attempt);
+    if (attempt === null && attempts.hasStarted(message.attempt)) {
+      this.send(dropped(message.attempt));
+      return;
+    }
     if (attempt === null) {
       const refused =
         attempts.refusal(message.attempt) ??
@@ -127,8 +132,8 @@
       return;
     }
     attempts.adopt(message.attempt);
+    this.#await(message.attempt);
     attempt.resume(this, message);
-    this.#setBusy();
   }
 
   /** An attempt that has not arrived yet must not start when it does. */
@@ -137,7 +142,7 @@
     const attempt = attempts.get(name);
     if (attempt === null) attempts.refuse(name, "unknown-attempt", 0);
     else attempt.cancel("Caller has gone");
-    this.#setBusy();
+    this.#settle(name);
   }
 
   /** Attempts of different routers have different names here. */
@@ -149,7 +154,25 @@
     return attempt.slice(this.#connection.peer.incarnation.length + 1);
   }
 
-  #setBusy(): void {
-    this.#connection.setBusy(this.#parts.attempts.isBusy(this));
+  #await(name: string): void {
+    this.#awaited.add(name);
+    this.#connection.setBusy(true);
+  }
+
+  #settle(name: string): void {
+    this.#awaited.delete(name);
+    this.#connection.setBusy(this.#awaited.size > 0);
   }
 }
+
+/** The whole answer was acknowledged before: there is nothing left of it. */
+function dropped(attempt: string): Message {
+  return {
+    type: "failed",
+    attempt,
+    outcome: "ran",
+    code: "answer-dropped",
+    sentence: "The answer was delivered and is not kept",
+    retryAfterMs: 0,
+  };
+}
