--- a/bench/main.ts
+++ b/bench/main.ts
@@ -5,6 +5,7 @@
 import { close } from "../tools/load/caller.ts";
 import { POLICIES } from "./baselines/policy.ts";
 import { type ContentionFigures, measureContention } from "./contention.ts";
+import { fullSizeText } from "./full_size.ts";
 import { measureLatency } from "./latency.ts";
 import { measureMemory } from "./memory.ts";
 import { measureSlopes, type Slope } from "./slopes.ts";
@@ -51,7 +52,7 @@
   .action(async ({ json }: { json?: boolean }) => {
     const slopes = await measureSlopes();
     if (json) show(slopes);
-    else console.log(slopesText(slopes));
+    else console.log(`${slopesText(slopes)}\n\n${fullSizeText(slopes)}`);
   });
 await program.parseAsync();
 await close();
--- a/src/router/demand_announcer.ts
+++ b/src/router/demand_announcer.ts
@@ -6,8 +6,7 @@
  * What still waits after a while is told to all, so that no slot idles.
  */
 
-import type { TeamDemand } from "../protocol/mod.ts";
-import type { SidePeer } from "./side_peer.ts";
+import type { Demand, TeamDemand } from "../protocol/mod.ts";
 
 /** Changes within this time are told together; some undo each other. */
 const COALESCE_MS = 10;
@@ -16,17 +15,22 @@
 /** Age at which a waiting request is told to all. */
 const ESCALATE_MS = 100;
 
+/** A side process as the announcer sees it. */
+export interface DemandReceiver {
+  send(message: Demand): void;
+}
+
 /** What the announcer reads. */
 export interface DemandSource {
   /** Side processes that can be sent work. */
-  peers(): readonly SidePeer[];
+  peers(): readonly DemandReceiver[];
   count(team: string): number;
   /** Age of the team's oldest waiting request, in milliseconds. */
   ageMs(team: string): number;
 }
 
 /** Told counts by side process, per team. */
-type Told = Map<SidePeer, number>;
+type Told = Map<DemandReceiver, number>;
 
 /** Remembers what each side process was told. */
 export class DemandAnnouncer {
@@ -47,14 +51,14 @@
   }
 
   /** Notes that a peer learned a count by a run or an unused grant. */
-  learned(peer: SidePeer, team: string, count: number): void {
+  learned(peer: DemandReceiver, team: string, count: number): void {
     const told = this.#told.get(team);
     if (count > 0) told?.set(peer, count);
     else told?.delete(peer);
   }
 
   /** Forgets what a peer knew whose connection is new or gone. */
-  forget(peer: SidePeer): void {
+  forget(peer: DemandReceiver): void {
     for (const [team, told] of this.#told) {
       if (told.delete(peer)) this.changed(team);
     }
@@ -62,17 +66,17 @@
 
   #flush(): void {
     this.#flushTimer = null;
-    const news = new Map<SidePeer, TeamDemand[]>();
+    const news = new Map<DemandReceiver, TeamDemand[]>();
     for (const team of this.#changed) this.#collect(team, news);
     this.#changed.clear();
     for (const [peer, teams] of news) peer.send({ type: "demand", teams });
     if (this.#told.size > 0) this.#scheduleEscalation();
   }
 
-  #collect(team: string, news: Map<SidePeer, TeamDemand[]>): void {
+  #collect(team: string, news: Map<DemandReceiver, TeamDemand[]>): void {
     const count = this.#source.count(team);
     const ageMs = Math.round(this.#source.ageMs(team));
-    const told = this.#told.get(team) ?? new Map<SidePeer, number>();
+    const told = this.#told.get(team) ?? new Map<DemandReceiver, number>();
     for (const peer of this.#audience(told, { count, ageMs })) {
       if (!isNews(told.get(peer) ?? 0, count)) continue;
       if (count === 0) told.delete(peer);
@@ -89,7 +93,7 @@
   #audience(
     told: Told,
     { count, ageMs }: { readonly count: number; readonly ageMs: number },
-  ): SidePeer[] {
+  ): DemandReceiver[] {
     const peers = this.#source.peers();
     if (count === 0) return [...told.keys()];
     if (ageMs >= ESCALATE_MS) return [...peers];
