--- a/bench/full_size.ts
+++ b/bench/full_size.ts
@@ -1,7 +1,7 @@
 /** The letter's full size, and what measured slopes come to there. */
 
 import { table } from "../src/report/mod.ts";
-import type { Slope } from "./slopes.ts";
+import type { Slope } from "./slope.ts";
 
 const ROUTERS = 370;
 const REPLICAS = 1_100;
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -8,7 +8,8 @@
 import { fullSizeText } from "./full_size.ts";
 import { measureLatency } from "./latency.ts";
 import { measureMemory } from "./memory.ts";
-import { measureSlopes, type Slope } from "./slopes.ts";
+import type { Slope } from "./slope.ts";
+import { measureSlopes } from "./slopes.ts";
 import type { Design } from "./target.ts";
 import {
   createWorkload,
--- a/src/fairness/ledger.ts
+++ b/src/fairness/ledger.ts
@@ -6,6 +6,17 @@
  * by the highest, so updates may come in any order, twice, or not at all.
  */
 
+import {
+  type Account,
+  type Counter,
+  counterOf,
+  createAccount,
+  mergeCounter,
+  reset,
+  standingOf,
+  toEntry,
+  totalOf,
+} from "./account.ts";
 import type { LedgerEntry } from "./ledger_entry.ts";
 
 /** Origins an entry may name before its counters are folded into its level. */
@@ -13,27 +24,10 @@
 /** Debt that a team can owe, in units of the largest single charge. */
 const DEBT_LIMIT_CHARGES = 50;
 
-interface Counter {
-  charged: number;
-  refunded: number;
-}
-
-interface Entry {
-  epoch: number;
-  level: number;
-  /** Debt beyond the limit that this process does not hold against it. */
-  forgiven: number;
-  readonly counters: Map<string, Counter>;
-  /** Origins at which the team waits. */
-  readonly waitingAt: Set<string>;
-  /** Requests charged here that have not ended. */
-  open: number;
-}
-
 /** One process's view of every team that was served or waits. */
 export class Ledger {
   readonly #origin: string;
-  readonly #entries = new Map<string, Entry>();
+  readonly #entries = new Map<string, Account>();
   #epoch = 0;
   #floor = 0;
   #largestCharge = 0;
@@ -148,7 +142,7 @@
   entry(team: string): LedgerEntry | null {
     const entry = this.#entries.get(team);
     if (entry === undefined) return null;
-    return toUpdate(team, entry, this.#origin, this.#isWaiting(entry));
+    return toEntry(team, entry, this.#origin, this.#isWaiting(entry));
   }
 
   /** Returns everything, counters of other origins too, for a new peer. */
@@ -158,7 +152,7 @@
       const origins = new Set([this.#origin, ...entry.counters.keys()]);
       for (const origin of origins) {
         const waiting = entry.waitingAt.has(origin);
-        updates.push(toUpdate(team, entry, origin, waiting));
+        updates.push(toEntry(team, entry, origin, waiting));
       }
     }
     return updates;
@@ -178,99 +172,41 @@
     }
   }
 
-  #isWaiting(entry: Entry): boolean {
+  #isWaiting(entry: Account): boolean {
     return entry.waitingAt.has(this.#origin);
   }
 
-  #entry(team: string): Entry {
+  #entry(team: string): Account {
     const known = this.#entries.get(team);
     if (known !== undefined) return known;
     this.#epoch += 1;
-    const entry = createEntry(this.#epoch, this.#floor);
+    const entry = createAccount(this.#epoch, this.#floor);
     this.#entries.set(team, entry);
     return entry;
   }
 
-  #adopt(update: LedgerEntry): Entry {
-    const entry = createEntry(update.epoch, update.level);
+  #adopt(update: LedgerEntry): Account {
+    const entry = createAccount(update.epoch, update.level);
     this.#entries.set(update.team, entry);
     return entry;
   }
 
-  #own(entry: Entry): Counter {
+  #own(entry: Account): Counter {
     return counterOf(entry, this.#origin);
   }
 
-  #raise(entry: Entry): void {
+  #raise(entry: Account): void {
     entry.level += Math.max(0, this.#floor - standingOf(entry));
   }
 
-  #fold(entry: Entry): void {
+  #fold(entry: Account): void {
     this.#epoch += 1;
     reset(entry, this.#epoch, totalOf(entry));
   }
 
-  #forgive(entry: Entry): void {
+  #forgive(entry: Account): void {
     const limit = this.#floor + DEBT_LIMIT_CHARGES * this.#largestCharge;
     if (this.#largestCharge === 0) return;
     entry.forgiven += Math.max(0, standingOf(entry) - limit);
   }
 }
-
-function createEntry(epoch: number, level: number): Entry {
-  return {
-    epoch,
-    level,
-    forgiven: 0,
-    counters: new Map(),
-    waitingAt: new Set(),
-    open: 0,
-  };
-}
-
-function reset(entry: Entry, epoch: number, level: number): void {
-  entry.epoch = epoch;
-  entry.level = level;
-  entry.forgiven = 0;
-  entry.counters.clear();
-}
-
-function standingOf(entry: Entry): number {
-  return totalOf(entry) - entry.forgiven;
-}
-
-function totalOf({ level, counters }: Entry): number {
-  let value = level;
-  for (const { charged, refunded } of counters.values()) {
-    value += charged - refunded;
-  }
-  return value;
-}
-
-function counterOf(entry: Entry, origin: string): Counter {
-  const known = entry.counters.get(origin);
-  if (known !== undefined) return known;
-  const counter = { charged: 0, refunded: 0 };
-  entry.counters.set(origin, counter);
-  return counter;
-}
-
-function mergeCounter(entry: Entry, update: LedgerEntry): void {
-  if (update.charged === 0 && update.refunded === 0) return;
-  const counter = counterOf(entry, update.origin);
-  counter.charged = Math.max(counter.charged, update.charged);
-  counter.refunded = Math.max(counter.refunded, update.refunded);
-}
-
-function toUpdate(
-  team: string,
-  entry: Entry,
-  origin: string,
-  waiting: boolean,
-): LedgerEntry {
-  const { epoch, level } = entry;
-  const counter = entry.counters.get(origin);
-  const charged = counter?.charged ?? 0;
-  const refunded = counter?.refunded ?? 0;
-  return { team, epoch, level, origin, charged, refunded, waiting };
-}
--- /dev/null
+++ b/src/router/delivery_batch.ts
@@ -0,0 +1,29 @@
+/** Acknowledges whole answers together. */
+
+import type { Delivered } from "../protocol/mod.ts";
+
+/** Whole answers within this time are acknowledged in one message. */
+const BATCH_MS = 250;
+
+/** Collects attempts until the next message is due. */
+export class DeliveryBatch {
+  readonly #send: (message: Delivered) => void;
+  #attempts: string[] = [];
+  #timer: NodeJS.Timeout | null = null;
+
+  constructor(send: (message: Delivered) => void) {
+    this.#send = send;
+  }
+
+  /** Adds an attempt whose whole answer has reached its caller. */
+  add(attempt: string): void {
+    this.#attempts.push(attempt);
+    this.#timer ??= setTimeout(() => this.#flush(), BATCH_MS);
+  }
+
+  #flush(): void {
+    this.#timer = null;
+    this.#send({ type: "delivered", attempts: this.#attempts });
+    this.#attempts = [];
+  }
+}
--- a/src/router/reader.ts
+++ b/src/router/reader.ts
@@ -10,6 +10,7 @@
   type RequestFacts,
   type Service,
   type Team,
+  type Then,
   type Treatment,
   versionedName,
 } from "../configuration/mod.ts";
@@ -75,15 +76,8 @@
     const rule = decide(this.#parts.active.rules, facts);
     const then = rule?.then ?? { type: "admit" as const };
     switch (then.type) {
-      case "refuse": {
-        const { status, reason: sentence, retryAfterSeconds } = then;
-        if (retryAfterSeconds === undefined) {
-          return err(badRequest(status, "refused-by-rule", { sentence }));
-        }
-        const retryAfterMs = retryAfterSeconds * 1_000;
-        const detail = { sentence, retryAfterMs };
-        return err(notRun(status, "refused-by-rule", detail));
-      }
+      case "refuse":
+        return err(refusedByRule(then));
       case "send":
       case "admit": {
         const service =
@@ -192,6 +186,18 @@
   }
 }
 
+function refusedByRule({
+  status,
+  reason: sentence,
+  retryAfterSeconds,
+}: Extract<Then, { readonly type: "refuse" }>): Failure {
+  if (retryAfterSeconds === undefined) {
+    return badRequest(status, "refused-by-rule", { sentence });
+  }
+  const retryAfterMs = retryAfterSeconds * 1_000;
+  return notRun(status, "refused-by-rule", { sentence, retryAfterMs });
+}
+
 /** The safer word wins: one "no" makes a request non-idempotent. */
 function isIdempotent(
   service: Service,
--- a/src/router/side_peer.ts
+++ b/src/router/side_peer.ts
@@ -13,13 +13,12 @@
   Dialer,
 } from "../transport/mod.ts";
 import { Attempt } from "./attempt.ts";
+import { DeliveryBatch } from "./delivery_batch.ts";
 
 const log = logger("router");
 
 /** How long attempts wait for a new connection before they are lost. */
 const RESUME_MS = 5_000;
-/** Whole answers within this time are acknowledged together. */
-const DELIVERED_MS = 250;
 /** Attempts to cancel once the side process can be reached again. */
 const CANCELS_LIMIT = 10_000;
 
@@ -48,8 +47,7 @@
   #connection: Connection | null = null;
   #incarnation = "";
   #cancels: string[] = [];
-  #delivered: string[] = [];
-  #deliveredTimer: NodeJS.Timeout | null = null;
+  readonly #deliveries = new DeliveryBatch((message) => this.send(message));
   #lossTimer: NodeJS.Timeout | null = null;
   #saysLeaving = false;
   #listedLeaving = false;
@@ -137,12 +135,7 @@
 
   /** Tells, together with others, that a whole answer has arrived. */
   delivered({ run }: Attempt): void {
-    this.#delivered.push(run.attempt);
-    this.#deliveredTimer ??= setTimeout(() => {
-      this.#deliveredTimer = null;
-      this.send({ type: "delivered", attempts: this.#delivered });
-      this.#delivered = [];
-    }, DELIVERED_MS);
+    this.#deliveries.add(run.attempt);
   }
 
   /** Cancels an attempt, now or when the peer can be reached again. */
--- a/src/side_process/components.ts
+++ b/src/side_process/components.ts
@@ -14,6 +14,7 @@
 import {
   type ConnectionOwner,
   type Credentials,
+  type Identity,
   Traffic,
 } from "../transport/mod.ts";
 import { Attempts } from "./attempts.ts";
@@ -66,7 +67,7 @@
 ): Components {
   const { instance, availabilityZone, platformUrl } = settings;
   const credentials = createCredentials(settings);
-  const { incarnation, service } = credentials.identity;
+  const { incarnation } = credentials.identity;
   const active = new ActiveConfiguration(clock);
   const traffic = new Traffic();
   const configurationVersion = () => active.version;
@@ -95,15 +96,9 @@
     ...{ configurationSpread, incarnation },
     arbiter: () => arbiter,
   });
-  const leases = new KeyLeases({
-    ...{ clock, store, service },
-    own: { instance, incarnation },
-    historyBegins: () => memory.extend(WHOLE_HISTORY_MS),
-    members: () => [instance, ...peers.instances],
-  });
-  const arbiter = new Arbiter({ clock, leases, memory, peers, incarnation });
-  const keys = new KeyGuard({
-    ...{ clock, leases, memory, peers, arbiter, instance, incarnation },
+  const { leases, arbiter, keys } = createKeyParts({
+    ...{ clock, store, memory, peers },
+    identity: credentials.identity,
   });
   const runner = new Runner({
     ...{ clock, quarantine, backend, attempts, dispatcher, keys },
@@ -120,6 +115,33 @@
   };
 }
 
+interface KeyParts {
+  readonly clock: Clock;
+  readonly store: ObjectStore;
+  readonly memory: KeyMemory;
+  readonly peers: Peers;
+  readonly identity: Identity;
+}
+
+function createKeyParts({ clock, store, memory, peers, identity }: KeyParts): {
+  readonly leases: KeyLeases;
+  readonly arbiter: Arbiter;
+  readonly keys: KeyGuard;
+} {
+  const { instance, incarnation, service } = identity;
+  const leases = new KeyLeases({
+    ...{ clock, store, service },
+    own: { instance, incarnation },
+    historyBegins: () => memory.extend(WHOLE_HISTORY_MS),
+    members: () => [instance, ...peers.instances],
+  });
+  const arbiter = new Arbiter({ clock, leases, memory, peers, incarnation });
+  const keys = new KeyGuard({
+    ...{ clock, leases, memory, peers, arbiter, instance, incarnation },
+  });
+  return { leases, arbiter, keys };
+}
+
 function createCredentials(settings: SideProcessSettings): Credentials {
   const { instance, availabilityZone, fleetKey, backendServer } = settings;
   const identity = {
--- a/tools/fleet/fleet.ts
+++ b/tools/fleet/fleet.ts
@@ -12,11 +12,13 @@
   type Document,
 } from "../../src/configuration/mod.ts";
 import { type Instance, ObjectStore } from "../../src/platform/mod.ts";
+import { startBackend } from "./backend.ts";
 import { Child } from "./child.ts";
 import { Link } from "./link.ts";
+import type { Backend, Member, SideMember } from "./members.ts";
 import type { Plan, ServicePlan, TeamKey } from "./plan.ts";
 import { freePorts } from "./ports.ts";
-import { until } from "./until.ts";
+import { answers, until } from "./until.ts";
 
 const START_TIMEOUT_MS = 30_000;
 const APPLY_TIMEOUT_MS = 20_000;
@@ -27,34 +29,7 @@
 /** Key of the operators' endpoints. */
 export const OPERATOR_KEY = "operator-key-of-the-loopback-fleet";
 
-/** A stand-in of a backend server. */
-export interface Backend {
-  readonly service: string;
-  readonly url: string;
-  readonly link: Link | null;
-  /** Where its run log is kept. */
-  readonly logFile: string;
-  child: Child;
-  /** Starts it again after its end. */
-  restart(): Promise<void>;
-}
-
-/** A process of the product. */
-export interface Member {
-  readonly instance: Instance;
-  /** Where it is reached: callers' URL of a router, else empty. */
-  readonly url: string;
-  readonly adminUrl: string;
-  readonly link: Link | null;
-  child: Child;
-  /** Starts it again, with no memory. */
-  restart(): void;
-}
-
-/** A side process with the backend server beside it. */
-export interface SideMember extends Member {
-  readonly backend: Backend;
-}
+export type { Backend, Member, SideMember };
 
 /** A fleet that runs. */
 export class Fleet {
@@ -223,8 +198,9 @@
       number,
       number,
     ];
-    const backend = await this.#startBackend(service, {
+    const backend = await startBackend(service, {
       port: backendPort,
+      linked: this.plan.links?.includes("backend") ?? false,
       logFile: join(this.directory, `${name}-${index}.runs`),
     });
     const links = this.plan.links ?? [];
@@ -253,39 +229,6 @@
     await this.register(instance);
   }
 
-  async #startBackend(
-    service: ServicePlan,
-    { port, logFile }: { readonly port: number; readonly logFile: string },
-  ): Promise<Backend> {
-    const { type, stepMs, slots } = service;
-    const script =
-      type === "model"
-        ? "stand_ins/engine/main.js"
-        : "stand_ins/plain_service/main.js";
-    const step = type === "model" ? "--step-ms" : "--work-ms";
-    const args = ["--port", String(port), step, String(stepMs)];
-    args.push("--log", logFile);
-    if (type === "model") args.push("--slots", String(slots));
-    const start = () => Child.start(service.name, script, args);
-    const direct = `http://${HOST}:${port}`;
-    const link = this.plan.links?.includes("backend")
-      ? await Link.start(port)
-      : null;
-    const backend: Backend = {
-      service: service.name,
-      url: `http://${HOST}:${link?.port ?? port}`,
-      link,
-      logFile,
-      child: start(),
-      restart: async () => {
-        await backend.child.kill();
-        backend.child = start();
-        await answers(`${direct}/health`);
-      },
-    };
-    return backend;
-  }
-
   async #startRouter(index: number): Promise<void> {
     const [entryPort, adminPort] = (await freePorts(2)) as [number, number];
     const instance = this.#instance("router", `router-${index}`, {
@@ -365,15 +308,3 @@
   if (team === undefined) throw new Error(`Team ${name} is not planned`);
   return team.key;
 }
-
-async function answers(url: string): Promise<void> {
-  await until(`${url} answers`, START_TIMEOUT_MS, {
-    holds: async () => {
-      try {
-        return (await fetch(url)).ok;
-      } catch {
-        return false;
-      }
-    },
-  });
-}
--- a/tools/fleet/ports.ts
+++ b/tools/fleet/ports.ts
@@ -8,6 +8,8 @@
 /** Processes that start fleets at once take ports of their own. */
 const BLOCKS = 200;
 
+const PORTS = PORTS_PER_PROCESS * BLOCKS;
+
 const block = process.pid % BLOCKS;
 let taken = 0;
 
@@ -15,11 +17,10 @@
 export async function freePorts(count: number): Promise<number[]> {
   const ports: number[] = [];
   for (let tries = 0; ports.length < count; tries += 1) {
-    if (tries > count + PORTS_PER_PROCESS) {
+    if (tries > PORTS) {
       throw new Error(`Found ${ports.length} of ${count} free ports`);
     }
-    const port =
-      FIRST_PORT + block * PORTS_PER_PROCESS + (taken % PORTS_PER_PROCESS);
+    const port = FIRST_PORT + ((block * PORTS_PER_PROCESS + taken) % PORTS);
     taken += 1;
     if (await isFree(port)) ports.push(port);
   }
--- a/tools/fleet/until.ts
+++ b/tools/fleet/until.ts
@@ -5,6 +5,7 @@
 import { sleep } from "../../src/common/signal.ts";
 
 const CHECK_MS = 20;
+const ANSWER_TIMEOUT_MS = 30_000;
 
 /** Resolves once the condition holds; rejects after `timeoutMs`. */
 export async function until(
@@ -20,3 +21,16 @@
     await sleep(CHECK_MS);
   }
 }
+
+/** Waits until a URL answers well. */
+export async function answers(url: string): Promise<void> {
+  await until(`${url} answers`, ANSWER_TIMEOUT_MS, {
+    holds: async () => {
+      try {
+        return (await fetch(url)).ok;
+      } catch {
+        return false;
+      }
+    },
+  });
+}
