Tell peers of a team only once it has moved by a quantum

Ruled out: demand and grants, 5 a second each. Change: peers take an untold team to be at its level, so a new entry is told when it has moved by the quantum or waits.

--- a/src/fairness/spread.ts
+++ b/src/fairness/spread.ts
@@ -53,8 +53,7 @@
   }
 
   #isDue(entry: LedgerEntry, quantum: number): boolean {
-    const sent = this.#sent.get(entry.team);
-    if (sent === undefined) return true;
+    const sent = this.#sentOf(entry);
     const moved = Math.abs(own(entry) - sent.value);
     if (moved >= quantum) return true;
     if (sent.waiting === entry.waiting) {
@@ -67,6 +66,15 @@
     return nowMs - sent.differsSinceMs >= WAITING_SETTLED_MS;
   }
 
+  /** Peers take a team that they were not told of to be at its level. */
+  #sentOf({ team, level }: LedgerEntry): Sent {
+    const known = this.#sent.get(team);
+    if (known !== undefined) return known;
+    const sent = { value: level, waiting: false, differsSinceMs: null };
+    this.#sent.set(team, sent);
+    return sent;
+  }
+
   #note(entry: LedgerEntry): void {
     this.#touched.delete(entry.team);
     this.#sent.set(entry.team, {
