--- a/src/configuration/chunk.ts
+++ b/src/configuration/chunk.ts
@@ -8,7 +8,6 @@
 
 import { createHash } from "node:crypto";
 import { err, ok, type Result } from "neverthrow";
-import { Schema } from "../common/schema.ts";
 import type { Document, Team } from "./document.ts";
 
 /** Teams in a chunk, on average. */
@@ -29,20 +28,6 @@
 
 type Head = Omit<Document, "teams">;
 
-/** Schema of a list of names. */
-export const chunkListSchema = new Schema<ChunkList>({
-  type: "object",
-  required: ["names"],
-  additionalProperties: false,
-  properties: {
-    names: {
-      type: "array",
-      minItems: 1,
-      items: { type: "string", maxLength: NAME_CHARACTERS },
-    },
-  },
-});
-
 /** Cuts a document. */
 export function cut({ teams, ...head }: Document): ChunkedDocument {
   const texts = new Map<string, string>();
--- a/src/platform/instance_list.ts
+++ b/src/platform/instance_list.ts
@@ -2,7 +2,6 @@
 
 import { err, ok, type Result } from "neverthrow";
 import { request } from "undici";
-import type { Clock } from "../common/clock.ts";
 import { messageOf } from "../common/error_message.ts";
 import { Schema } from "../common/schema.ts";
 import { sleep } from "../common/signal.ts";
@@ -94,15 +93,12 @@
 /** Reads the list again and again; a failed read keeps the last one. */
 export class InstanceList {
   readonly #platformUrl: string;
-  readonly #clock: Clock;
   readonly #stop = new AbortController();
   #list = NO_LIST;
   #calls = 0;
-  #readAtMs = Number.NEGATIVE_INFINITY;
 
-  constructor(platformUrl: string, clock: Clock) {
+  constructor(platformUrl: string) {
     this.#platformUrl = platformUrl;
-    this.#clock = clock;
   }
 
   /** The list as last read. */
@@ -115,11 +111,6 @@
     return this.#calls;
   }
 
-  /** Milliseconds since the last successful read. */
-  get ageMs(): number {
-    return this.#clock.monotonicMs() - this.#readAtMs;
-  }
-
   /** Reads until `close`, calling `changed` after each read. */
   async run(changed: (list: readonly Instance[]) => void): Promise<void> {
     while (!this.#stop.signal.aborted) {
@@ -127,7 +118,6 @@
       const list = await readChanged(this.#platformUrl, this.#list);
       if (list.isOk()) {
         this.#list = list.value;
-        this.#readAtMs = this.#clock.monotonicMs();
         changed(list.value.instances);
       }
       const jitter = 0.75 + Math.random() / 2;
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -62,7 +62,7 @@
       service: "",
     };
     this.#store = new ObjectStore(platformUrl);
-    this.#instances = new InstanceList(platformUrl, this.#clock);
+    this.#instances = new InstanceList(platformUrl);
     this.#fleet = new Fleet({
       clock: this.#clock,
       configurationSpread: new ConfigurationSpread(this.#active, this.#clock),
--- a/src/side_process/components.ts
+++ b/src/side_process/components.ts
@@ -75,7 +75,7 @@
   const registry = new metrics.Registry();
   const configurationSpread = new ConfigurationSpread(active, clock);
   const store = new ObjectStore(platformUrl);
-  const instances = new InstanceList(platformUrl, clock);
+  const instances = new InstanceList(platformUrl);
   const watcher = new ConfigurationWatcher(store, active, {
     ...{ instance, availabilityZone },
     instances: () => instances.instances,
