--- a/src/cli/daemon_commands.ts
+++ b/src/cli/daemon_commands.ts
@@ -1,6 +1,7 @@
 /** Commands that run a process until a signal ends it. */
 
 import type { Command } from "commander";
+import { messageOf } from "../common/error_message.ts";
 import { format } from "../common/finding.ts";
 import { logger, setLevel } from "../common/log.ts";
 import type { Schema } from "../common/schema.ts";
@@ -75,7 +76,7 @@
   try {
     await daemon.start();
   } catch (error) {
-    log.error(`Can't start: ${(error as Error).message}`);
+    log.error(`Can't start: ${messageOf(error)}`);
     process.exit(ExitCode.UNAVAILABLE);
   }
   await signal;
--- a/src/cli/report_commands.ts
+++ b/src/cli/report_commands.ts
@@ -4,11 +4,9 @@
 import { Command } from "commander";
 import {
   type BurnLine,
-  burnCountsSchema,
-  burnLines,
   burnPage,
   burnText,
-  gather,
+  gatherBurn,
 } from "../report/mod.ts";
 import { ExitCode } from "./exit_code.ts";
 import {
@@ -46,17 +44,12 @@
     });
 }
 
-async function readLines(options: BurnOptions): Promise<BurnLine[]> {
+async function readLines(options: BurnOptions): Promise<readonly BurnLine[]> {
   const { platform: platformUrl, operatorKey } = options;
-  const gathered = await gather({ platformUrl, operatorKey }, "/burn", {
-    wanted: ({ role }) => role === "router",
-  });
+  const gathered = await gatherBurn({ platformUrl, operatorKey });
   if (gathered.isErr()) fail(ExitCode.UNAVAILABLE, gathered.error);
-  const counts = gathered.value.flatMap(({ instance, page }) => {
-    const checked = burnCountsSchema.check(page);
-    if (checked.isOk()) return checked.value.counts;
-    process.stderr.write(`Router ${instance.name} did not answer\n`);
-    return [];
-  });
-  return burnLines(counts);
+  for (const name of gathered.value.silent) {
+    process.stderr.write(`Router ${name} did not answer\n`);
+  }
+  return gathered.value.lines;
 }
--- a/src/router/entry.ts
+++ b/src/router/entry.ts
@@ -4,6 +4,7 @@
 import type { ServiceBroker } from "moleculer";
 import ApiGateway from "moleculer-web";
 import { err, ok, type Result } from "neverthrow";
+import { messageOf } from "../common/error_message.ts";
 import { logger } from "../common/log.ts";
 import type { Service } from "../configuration/mod.ts";
 import { CallerAnswer } from "./caller_answer.ts";
@@ -174,7 +175,7 @@
   try {
     value = JSON.parse(body.toString("utf8"));
   } catch (error) {
-    const sentence = `Body is not JSON: ${(error as Error).message}`;
+    const sentence = `Body is not JSON: ${messageOf(error)}`;
     return err(badRequest(400, "bad-json", { sentence }));
   }
   const { model, messages } = (value ?? {}) as Record<string, unknown>;
--- a/src/router/side_peer.ts
+++ b/src/router/side_peer.ts
@@ -65,12 +65,8 @@
 
   /** Whether it can be sent new work. */
   get usable(): boolean {
-    return this.#connection !== null && !this.#saysLeaving && !this.leaving;
-  }
-
-  /** Whether the platform lists it as leaving. */
-  get leaving(): boolean {
-    return this.#listedLeaving;
+    const leaving = this.#saysLeaving || this.#listedLeaving;
+    return this.#connection !== null && !leaving;
   }
 
   /** Share of its slots that is thought free, from 0 to 1. */
--- a/tests/scenarios/steps/link_steps.ts
+++ b/tests/scenarios/steps/link_steps.ts
@@ -70,24 +70,14 @@
     delayMs: 0,
   });
   fault("the platform loses the next answer", { loseAnswers: 1 });
-  steps.define(
-    "the platform loses the next {int} answers",
-    async (world, loseAnswers: number) => {
-      await world.fleet.control("/faults", { loseAnswers });
-    },
-  );
-  steps.define(
-    "the platform answers {int} ms late",
-    async (world, delayMs: number) => {
-      await world.fleet.control("/faults", { delayMs });
-    },
-  );
-  steps.define(
-    "the instance list lags by {int} ms",
-    async (world, listLagMs: number) => {
-      await world.fleet.control("/faults", { listLagMs });
-    },
-  );
+  const amount = (text: string, name: string) => {
+    steps.define(text, async (world, value: number) => {
+      await world.fleet.control("/faults", { [name]: value });
+    });
+  };
+  amount("the platform loses the next {int} answers", "loseAnswers");
+  amount("the platform answers {int} ms late", "delayMs");
+  amount("the instance list lags by {int} ms", "listLagMs");
   steps.define(
     "side process {int} is listed as leaving",
     async (world, index: number) => {
--- a/tools/demo/main.ts
+++ b/tools/demo/main.ts
@@ -3,10 +3,9 @@
 import { writeFile } from "node:fs/promises";
 import { Command } from "commander";
 import {
-  burnCountsSchema,
-  burnLines,
+  type BurnLine,
   burnText,
-  gather,
+  gatherBurn,
   table,
 } from "../../src/report/mod.ts";
 import { Fleet, OPERATOR_KEY } from "../fleet/fleet.ts";
@@ -131,19 +130,11 @@
   ];
 }
 
-async function burnOf(fleet: Fleet): Promise<ReturnType<typeof burnLines>> {
+async function burnOf(fleet: Fleet): Promise<readonly BurnLine[]> {
   const access = { platformUrl: fleet.platformUrl, operatorKey: OPERATOR_KEY };
-  const gathered = await gather(access, "/burn", {
-    wanted: ({ role }) => role === "router",
-  });
-  if (gathered.isErr()) return [];
-  return burnLines(
-    gathered.value.flatMap(({ page }) =>
-      burnCountsSchema.check(page).match(
-        ({ counts }) => counts,
-        () => [],
-      ),
-    ),
+  return (await gatherBurn(access)).match(
+    ({ lines }) => lines,
+    () => [],
   );
 }
 
