Move requests away from a side process that is cut off

Cause: a router held every attempt for 5 s for a new connection, also an idempotent one of which the caller had nothing yet and which another side process could run at once.

Change: such attempts are lost after 0.5 s without a connection, if another side process is usable, and are retried within the retry budget. Others (not idempotent, keyed, or begun) wait for 5 s as before.

Conclusion: a cut costs a repeatable request the time to notice it and half a second, not the whole cut.

--- a/src/router/attempt.ts
+++ b/src/router/attempt.ts
@@ -34,6 +34,12 @@
     return this.#head;
   }
 
+  /** Whether it can run elsewhere: repeatable, and nothing was passed on. */
+  get movable(): boolean {
+    const { idempotent, idempotencyKey } = this.run;
+    return idempotent && idempotencyKey === "" && this.#offset === 0;
+  }
+
   /** Takes a message; what arrived before is dropped. */
   receive(message: Message): void {
     if (this.#over) return;
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -79,6 +79,8 @@
           this.#serving.renewDemand(peer);
           this.#noteServers(peer);
         },
+        hasAlternative: ({ instance }) =>
+          this.#fleet.usable(instance.service).length > 0,
       },
     });
     this.#serving = new Serving({
--- a/src/router/side_peer.ts
+++ b/src/router/side_peer.ts
@@ -1,7 +1,6 @@
 /** A side process as one router sees it, over all its connections. */
 
 import type { Clock } from "../common/clock.ts";
-import { Deadline } from "../common/deadline.ts";
 import { logger } from "../common/log.ts";
 import type { ConfigurationSpread } from "../configuration/mod.ts";
 import type { Instance } from "../platform/mod.ts";
@@ -19,6 +18,8 @@
 
 /** How long attempts wait for a new connection before they are lost. */
 const RESUME_MS = 5_000;
+/** The same for attempts that can as well run at another one. */
+const MOVE_MS = 500;
 /** Attempts to cancel once the side process can be reached again. */
 const CANCELS_LIMIT = 10_000;
 
@@ -27,6 +28,8 @@
   granted(peer: SidePeer, grant: Grant): void;
   connected(peer: SidePeer): void;
   disconnected(peer: SidePeer): void;
+  /** Whether another side process of the service can be sent work. */
+  hasAlternative(peer: SidePeer): boolean;
 }
 
 /** What a peer shares with the rest of the process. */
@@ -48,6 +51,7 @@
   #incarnation = "";
   #cancels: string[] = [];
   readonly #deliveries = new DeliveryBatch((message) => this.send(message));
+  #moveTimer: NodeJS.Timeout | null = null;
   #lossTimer: NodeJS.Timeout | null = null;
   #saysLeaving = false;
   #listedLeaving = false;
@@ -155,7 +159,7 @@
   }
 
   #connect(connection: Connection): void {
-    this.#stopLossTimer();
+    this.#stopTimers();
     this.#connection = connection;
     this.#saysLeaving = false;
     this.#free = 0;
@@ -180,31 +184,46 @@
     this.#connection = null;
     this.#free = 0;
     this.#parts.listener.disconnected(this);
-    this.#startLossTimer();
+    this.#startTimers();
   }
 
   #setBusy(): void {
     this.#connection?.setBusy(this.#awaited || this.#attempts.size > 0);
   }
 
-  #startLossTimer(): void {
-    this.#stopLossTimer();
-    const deadline = new Deadline(this.#parts.clock, RESUME_MS);
-    this.#lossTimer = setTimeout(() => {
-      const { name } = this.instance;
-      this.#loseAll(`Side process ${name} did not answer for ${RESUME_MS} ms`);
-    }, deadline.remainingMs);
+  #startTimers(): void {
+    this.#stopTimers();
+    this.#moveTimer = setTimeout(() => this.#moveAttempts(), MOVE_MS);
+    this.#lossTimer = setTimeout(
+      () => this.#loseAll(this.#silentFor(RESUME_MS)),
+      RESUME_MS,
+    );
   }
 
-  #stopLossTimer(): void {
+  #stopTimers(): void {
+    if (this.#moveTimer !== null) clearTimeout(this.#moveTimer);
     if (this.#lossTimer !== null) clearTimeout(this.#lossTimer);
+    this.#moveTimer = null;
     this.#lossTimer = null;
   }
 
+  /** Frees attempts that need not wait here to run elsewhere. */
+  #moveAttempts(): void {
+    if (!this.#parts.listener.hasAlternative(this)) return;
+    for (const attempt of this.#attempts.values()) {
+      if (attempt.movable) attempt.lose(this.#silentFor(MOVE_MS));
+    }
+  }
+
   #loseAll(sentence: string): void {
     for (const attempt of this.#attempts.values()) attempt.lose(sentence);
   }
 
+  #silentFor(ms: number): string {
+    const { name } = this.instance;
+    return `Side process ${name} could not be reached for ${ms} ms`;
+  }
+
   #handle(message: Message): void {
     switch (message.type) {
       case "grant":
