Take a restart of the backend server at once, so that innocents stay clear

Cause, by a log of each strike: a server that came back within the 250 ms between two checks got new requests under the incarnation that had crashed. The check then took the restart for their crash, broke them off and gave them a strike of a crash in which they had not run.

Ruled out: strikes of peers that arrive after the rerun (the log shows them in time), and a second real crash beside the same innocent.

Change: the question that follows a broken answer counts as a check: no answer pauses new starts, another incarnation is taken at once.

Conclusion: what one task learns of the server must be in force for all. Left: a server that crashes without any request and is back within 250 ms.

--- a/src/side_process/backend_watch.ts
+++ b/src/side_process/backend_watch.ts
@@ -52,11 +52,20 @@
     return this.#incarnation;
   }
 
-  /** Asks now whether the server of an incarnation has ended. */
+  /**
+   * Asks now whether the server of an incarnation has ended. What the answer
+   * shows counts at once: a request that starts before the next check must
+   * not be taken for one of the incarnation that has ended.
+   */
   async hasCrashed(incarnation: string): Promise<boolean> {
     if (incarnation !== this.#incarnation) return true;
     const health = await this.#backend.health();
-    return health === null || health.incarnation !== incarnation;
+    if (health === null) {
+      this.#lose();
+      return true;
+    }
+    this.#succeed(health.incarnation);
+    return health.incarnation !== incarnation;
   }
 
   /** Ends `run`. */
@@ -81,7 +90,11 @@
 
   #fail(): void {
     this.#failures += 1;
-    if (!this.#up || this.#failures < FAILURES) return;
+    if (this.#failures >= FAILURES) this.#lose();
+  }
+
+  #lose(): void {
+    if (!this.#up) return;
     this.#up = false;
     log.warn("Backend server does not answer");
     this.#listener.down();
--- a/tests/scenarios/crashing_request.feature
+++ b/tests/scenarios/crashing_request.feature
@@ -13,3 +13,22 @@
     And the last crashing request was refused at once as quarantined
     And every other caller has its own whole answer or a truthful failure
     And no request refused as not-run ever runs
+
+  Scenario: Innocent requests beside several crashing ones are cleared
+    Given seed 92
+    And a desk fleet of 2 routers, 4 replicas and 4 slots
+    And crashed backend servers come back
+    When 8 innocent callers ask for whole answers of 300 tokens
+    And 8 requests run
+    And a caller sends a new crashing request
+    Then every innocent caller has its whole answer
+    When 8 innocent callers ask for whole answers of 300 tokens
+    And 8 more requests run
+    And a caller sends a new crashing request
+    Then every innocent caller has its whole answer
+    When 8 innocent callers ask for whole answers of 300 tokens
+    And 8 more requests run
+    And a caller sends a new crashing request
+    Then every innocent caller has its whole answer
+    And at least 3 backend servers have crashed
+    And no request refused as not-run ever runs
--- a/tests/scenarios/steps/crash_steps.ts
+++ b/tests/scenarios/steps/crash_steps.ts
@@ -7,6 +7,8 @@
 import { isTruthful } from "./outcome_steps.ts";
 
 const CRASHING_TEXT = "CRASH-ENGINE please";
+/** The same callers send the same texts, round after round. */
+const INNOCENT_TEXT = "Innocent request";
 const WATCH_MS = 50;
 /** A caller that repeats waits this long between two tries. */
 const REPEAT_MS = 300;
@@ -29,6 +31,35 @@
       }
     },
   );
+  steps.define("a caller sends a new crashing request", async (world) => {
+    const text = `${CRASHING_TEXT}, ${world.calls.length}`;
+    await world.call({ text, tokens: 20 }).ended;
+  });
+  steps.define(
+    "{int} innocent callers ask for whole answers of {int} tokens",
+    (world, count: number, tokens: number) => {
+      for (let index = 0; index < count; index += 1) {
+        const text = `${INNOCENT_TEXT} ${index}`;
+        world.call({ text, tokens, stream: false });
+      }
+    },
+  );
+  steps.define("every innocent caller has its whole answer", async (world) => {
+    await world.settle();
+    const innocent = world.calls.filter(({ text }) =>
+      text.startsWith(INNOCENT_TEXT),
+    );
+    assert.ok(innocent.length > 0, "There was no innocent caller");
+    const codes = innocent.map(({ result }) => `${result?.type}`);
+    assert.deepEqual(new Set(codes), new Set(["answered"]));
+  });
+  steps.define(
+    "at least {int} backend servers have crashed",
+    (world, least: number) => {
+      const crashes = world.notes.get("crashes") ?? 0;
+      assert.ok(crashes >= least, `Only ${crashes} have crashed`);
+    },
+  );
   steps.define(
     "at most {int} backend servers have crashed",
     (world, limit: number) => {
