Find a fresh connection silent in time, and drop the one it replaces

Cause, by the logs: a connection told its peer the pace of idle ones, 10 s, before its server set 2 s, and corrected that at the next check. Silenced in between, it was looked for after 30 s in place of 6 s.

Ruled out: the leases (their holders renewed them throughout) and the memory of lost peers (the answer then is unknown, not unavailable).

Found on the way: the end that accepts kept a connection that its peer had given up until it was found silent as well; claims and grants could go there, and its end then counted a peer as lost that was connected.

A unit test of the first heartbeat fails before. Conclusion: silence is found within the stated time from the first message on.

--- a/src/side_process/side_process.ts
+++ b/src/side_process/side_process.ts
@@ -98,6 +98,7 @@
   }
 
   async #serve(connection: Connection): Promise<void> {
+    this.#supersede(connection);
     this.#connections.add(connection);
     if (connection.peer.role === "side-process") {
       await this.#parts.peers.serve(connection);
@@ -107,6 +108,15 @@
     this.#connections.delete(connection);
   }
 
+  /** A peer that dials again has given up its earlier connection. */
+  #supersede(connection: Connection): void {
+    const { incarnation } = connection.peer;
+    for (const other of this.#connections) {
+      if (other.peer.incarnation !== incarnation) continue;
+      other.close("Its peer has opened a newer one");
+    }
+  }
+
   async #serveRouter(connection: Connection): Promise<void> {
     const session = new RouterSession(connection, this.#parts);
     this.#sessions.add(session);
--- a/src/transport/connection.ts
+++ b/src/transport/connection.ts
@@ -88,7 +88,8 @@
   start(peer: Identity): void {
     this.#peer = peer;
     this.#timer = setInterval(() => this.#check(), CHECK_MS);
-    this.announce();
+    // Whoever serves it sets its pace first: the peer counts on this one.
+    queueMicrotask(() => this.announce());
   }
 
   /** Sets the time between heartbeats while nothing is in progress. */
--- a/tests/scenarios/silent_connections.feature
+++ b/tests/scenarios/silent_connections.feature
@@ -73,3 +73,16 @@
     And 4 requests run
     And the connections of callers to router 0 go silent
     Then within 6 s every run at the backend servers has ended
+
+  Scenario: Between side processes
+    Given seed 28
+    And links in front of each side-process
+    And a desk fleet of 2 routers, 3 replicas and 8 slots
+    When 16 callers send keyed requests of 20 ms through router 0
+    And the keyed callers have their answers
+    And the connections between side processes go silent
+    And 16 callers repeat their keys for 20 ms through router 1
+    And 9000 ms pass
+    And 16 callers repeat their keys for 20 ms through router 1
+    Then every repeat gets the stored answer
+    And no key runs twice
--- a/tests/transport/handshake_test.ts
+++ b/tests/transport/handshake_test.ts
@@ -17,6 +17,7 @@
 
 const FLEET_KEY = "the-fleet-key-of-this-test";
 const TIMEOUT_MS = 5_000;
+const PACE_MS = 2_000;
 
 function createCredentials(
   instance: string,
@@ -146,3 +147,30 @@
   dialer.close();
   echo.close();
 });
+
+test("the first heartbeat tells the pace that its server has set", async () => {
+  const paces: number[] = [];
+  const serve = async (connection: Connection) => {
+    for await (const message of connection.messages) {
+      if (message.type === "heartbeat") paces.push(message.nextMs);
+    }
+  };
+  const listener = new Listener(createCredentials("listener"), createOwner(), {
+    serve,
+  });
+  const [port] = (await freePorts(1)) as [number];
+  await listener.listen({ host: "127.0.0.1", port });
+  const dialer = new Dialer(createCredentials("dialer"), createOwner(), {
+    serve: async (connection) => {
+      connection.setIdleHeartbeat(PACE_MS);
+      for await (const _ of connection.messages);
+    },
+  });
+  void dialer.run({ host: "127.0.0.1", port });
+  await until("a heartbeat arrives", TIMEOUT_MS, {
+    holds: () => paces.length > 0,
+  });
+  dialer.close();
+  await listener.close();
+  assert.equal(paces[0], PACE_MS);
+});
