--- a/stand_ins/plain_service/main.ts
+++ b/stand_ins/plain_service/main.ts
@@ -9,6 +9,7 @@
 import { parseArgs } from "node:util";
 import { readBody, sendJson, serve } from "../http.ts";
 import { RunLog } from "../run_log.ts";
+import { writeLongAnswer } from "./long_answer.ts";
 
 const { values } = parseArgs({
   options: {
@@ -20,6 +21,7 @@
 const workMs = Number(values["work-ms"]);
 const incarnation = randomUUID();
 const log = new RunLog(values.log);
+const progress = { writtenBytes: 0 };
 
 async function handle(
   request: IncomingMessage,
@@ -31,9 +33,17 @@
     sendJson(response, 200, {});
   } else if (url.pathname === "/executions") {
     sendJson(response, 200, log.executions);
+  } else if (url.pathname === "/progress") {
+    sendJson(response, 200, progress);
   } else {
     const body = await readBody(request);
     const execution = log.start(request, body);
+    const sizeBytes = Number(url.searchParams.get("bytes") ?? 0);
+    if (sizeBytes > 0) {
+      await writeLongAnswer(response, sizeBytes, progress);
+      log.finish(execution);
+      return;
+    }
     await delay(Number(url.searchParams.get("workMs") ?? workMs));
     log.finish(execution);
     const status = Number(url.searchParams.get("status") ?? 200);
--- a/tests/scenarios/at_most_once.feature
+++ b/tests/scenarios/at_most_once.feature
@@ -56,3 +56,23 @@
     Then no non-idempotent request runs twice
     And no request refused as not-run ever runs
     And every caller has its own whole answer or a truthful failure
+
+  Scenario: An availability zone is lost under load and comes back
+    Given seed 35
+    And a desk fleet of 3 routers, 4 replicas and 4 slots
+    When 12 callers send keyed requests of 1500 ms through router 1
+    And 12 requests run
+    And callers keep sending non-idempotent requests of 40 ms, 6 at a time
+    And 40 more requests run
+    And availability zone 0 is lost
+    And 17000 ms pass
+    And 12 callers repeat their keys for 1500 ms through router 2
+    And availability zone 0 comes back
+    And every router reaches every side process
+    And 40 more requests run
+    And the callers stop
+    Then every repeat gets the stored answer, still running or outcome unknown
+    And no key runs twice
+    And no non-idempotent request runs twice
+    And no request refused as not-run ever runs
+    And no caller has a wrong answer
--- a/tests/scenarios/configuration.feature
+++ b/tests/scenarios/configuration.feature
@@ -63,3 +63,17 @@
     And the platform works
     And an operator applies a change
     Then every process has that version within 8 s
+
+  Scenario: Two operators race while the store answers late
+    Given seed 68
+    And a desk fleet of 2 routers, 1 replica and 2 slots
+    When the platform answers 1500 ms late
+    And two operators apply changes at once
+    Then every process has that version within 8 s
+
+  Scenario: Two operators race and an answer is lost
+    Given seed 69
+    And a desk fleet of 2 routers, 1 replica and 2 slots
+    When the platform loses the next answer
+    And two operators apply changes at once
+    Then every process has that version within 8 s
--- a/tests/scenarios/steps/fleet_steps.ts
+++ b/tests/scenarios/steps/fleet_steps.ts
@@ -38,11 +38,42 @@
   addProcessSteps(steps, "backend server", (world, index) => {
     return required(world.fleet.backends[index]);
   });
+  addZoneSteps(steps);
   steps.define("every router reaches every side process", async (world) => {
     await world.fleet.ready();
   });
 }
 
+/** Steps that take everything of an availability zone down, or back up. */
+function addZoneSteps(steps: StepRegistry<World>): void {
+  steps.define(
+    "availability zone {int} is lost",
+    async (world, index: number) => {
+      const found = ofZone(world, index);
+      await Promise.all(found.map(({ child }) => child.kill()));
+    },
+  );
+  steps.define(
+    "availability zone {int} comes back",
+    async (world, index: number) => {
+      for (const one of ofZone(world, index)) await one.restart();
+    },
+  );
+}
+
+/** Backend servers first, as an operator would start them. */
+function ofZone({ fleet }: World, index: number): Restartable[] {
+  const zone = fleet.plan.availabilityZones[index];
+  const members = [...fleet.sideProcesses, ...fleet.routers].filter(
+    ({ instance }) => instance.availabilityZone === zone,
+  );
+  if (members.length === 0) throw new Error(`There is no zone ${index}`);
+  const backends = fleet.sideProcesses.filter(
+    ({ instance }) => instance.availabilityZone === zone,
+  );
+  return [...backends.map(({ backend }) => backend), ...members];
+}
+
 interface Restartable {
   readonly child: Child;
   restart(): void | Promise<void>;
--- a/tests/scenarios/steps/mod.ts
+++ b/tests/scenarios/steps/mod.ts
@@ -2,6 +2,7 @@
 
 import { StepRegistry } from "../../support/step_registry.ts";
 import type { World } from "../../support/world.ts";
+import { addBackPressureSteps } from "./back_pressure_steps.ts";
 import { addCallerSteps } from "./caller_steps.ts";
 import { addConfigurationSteps } from "./configuration_steps.ts";
 import { addCrashSteps } from "./crash_steps.ts";
@@ -15,6 +16,7 @@
 /** Returns a registry with all steps. */
 export function createSteps(): StepRegistry<World> {
   const steps = new StepRegistry<World>();
+  addBackPressureSteps(steps);
   addFleetSteps(steps);
   addCrashSteps(steps);
   addFairnessSteps(steps);
