Make two scenarios fail without their mechanism

Trials with a mechanism switched off let two new scenarios pass: 28 without noticing silence, 69 without the apply's own id; and so did 63, which is older.

Cause: in 28 one process could hold all ranges, so that repeats asked nobody; in 63 and 69 the lost answer could be that of a lease.

Change: 28 sends new keys after the silence, which need a second process (every caller gets its answer, where first only repeats were held); the stand-in's fault can be limited to a path, and 63 and 69 lose the answer to the apply itself.

--- a/stand_ins/platform/faults.ts
+++ b/stand_ins/platform/faults.ts
@@ -12,6 +12,8 @@
   delayMs: number;
   /** Writes that take effect and whose answer is lost. */
   loseAnswers: number;
+  /** Beginning of the paths whose answers are lost; empty for all. */
+  loseAnswersOf: string;
   /** Age of the instance list that is shown. */
   listLagMs: number;
   /** Calls a second beyond which 429 is answered; 0 for no limit. */
@@ -26,6 +28,7 @@
     stale: false,
     delayMs: 0,
     loseAnswers: 0,
+    loseAnswersOf: "",
     listLagMs: 0,
     callsPerSecond: 0,
   };
--- a/stand_ins/platform/objects.ts
+++ b/stand_ins/platform/objects.ts
@@ -116,7 +116,8 @@
     const before = stored === undefined ? null : { ...stored, before: null };
     this.#objects.set(name, { version, text, before });
     for (const wake of [...(this.#waiting.get(name) ?? [])]) wake();
-    if (this.#faults.loseAnswers > 0) {
+    const { loseAnswers, loseAnswersOf } = this.#faults;
+    if (loseAnswers > 0 && name.startsWith(loseAnswersOf)) {
       this.#faults.loseAnswers -= 1;
       response.destroy();
       return;
--- a/tests/scenarios/configuration.feature
+++ b/tests/scenarios/configuration.feature
@@ -15,7 +15,7 @@
   Scenario: The answer to an apply is lost
     Given seed 63
     And a desk fleet of 2 routers, 1 replica and 2 slots
-    When the platform loses the next answer
+    When the platform loses the next answer to an apply
     And an operator applies a change
     Then every process has that version within 8 s
 
@@ -74,6 +74,6 @@
   Scenario: Two operators race and an answer is lost
     Given seed 69
     And a desk fleet of 2 routers, 1 replica and 2 slots
-    When the platform loses the next answer
+    When the platform loses the next answer to an apply
     And two operators apply changes at once
     Then every process has that version within 8 s
--- a/tests/scenarios/silent_connections.feature
+++ b/tests/scenarios/silent_connections.feature
@@ -81,8 +81,8 @@
     When 16 callers send keyed requests of 20 ms through router 0
     And the keyed callers have their answers
     And the connections between side processes go silent
-    And 16 callers repeat their keys for 20 ms through router 1
     And 9000 ms pass
+    And 16 callers send new keyed requests of 20 ms through router 1
     And 16 callers repeat their keys for 20 ms through router 1
-    Then every repeat gets the stored answer
+    Then every caller has its own whole answer
     And no key runs twice
--- a/tests/scenarios/steps/key_steps.ts
+++ b/tests/scenarios/steps/key_steps.ts
@@ -15,6 +15,14 @@
       }
     },
   );
+  steps.define(
+    "{int} callers send new keyed requests of {int} ms through router {int}",
+    (world, count: number, workMs: number, router: number) => {
+      for (let index = 0; index < count; index += 1) {
+        callKeyed(world, `new-key-${index}`, { workMs, router });
+      }
+    },
+  );
   steps.define(
     "{int} callers repeat their keys for {int} ms through router {int}",
     (world, count: number, workMs: number, router: number) => {
--- a/tests/scenarios/steps/link_steps.ts
+++ b/tests/scenarios/steps/link_steps.ts
@@ -97,7 +97,10 @@
     stale: false,
     delayMs: 0,
   });
-  fault("the platform loses the next answer", { loseAnswers: 1 });
+  fault("the platform loses the next answer to an apply", {
+    loseAnswers: 1,
+    loseAnswersOf: "/v1/objects/configuration/active",
+  });
   const amount = (text: string, name: string) => {
     steps.define(text, async (world, value: number) => {
       await world.fleet.control("/faults", { [name]: value });
