Tell stolen processor time beside the added latency; measure again

Cause, by trace of each hop: every hop's p99 moved together, also in code that does nothing but wait for its turn. The host withheld 8 to 19% of processor time meanwhile (/proc/stat).

Ruled out: collection of garbage by several threads (trial with one thread: no difference that stands out of the noise), moleculer-web (0.09 ms), the router's own work (0.4 ms in all).

Change: bench latency prints the stolen share.

--- a/bench/latency.ts
+++ b/bench/latency.ts
@@ -12,6 +12,7 @@
 import { chat } from "../tools/load/caller.ts";
 import { Random } from "../tools/load/random.ts";
 import { percentile } from "../tools/load/summary.ts";
+import { readTicks, stolenShare } from "./stolen_time.ts";
 
 const RATE_PER_SECOND = 200;
 const TOKENS = 4;
@@ -28,6 +29,8 @@
   readonly routed: Percentiles;
   /** Difference of the percentiles, not percentile of differences. */
   readonly added: Percentiles;
+  /** Processor time that the host withheld meanwhile; null if not told. */
+  readonly stolenShare: number | null;
   /** Requests a second per core of router time, callers in a closed loop. */
   readonly routerRequestsPerCoreSecond: number;
   readonly closedRequestsPerSecond: number;
@@ -47,7 +50,9 @@
   try {
     const { seed, durationMs } = options;
     await alternate(fleet, new Random(seed + 1), WARM_UP_MS);
+    const ticks = await readTicks();
     const times = await alternate(fleet, new Random(seed), durationMs);
+    const stolen = stolenShare(ticks, await readTicks());
     const direct = percentiles(times.direct);
     const routed = percentiles(times.routed);
     const closed = await closedLoop(fleet, durationMs / 2);
@@ -59,6 +64,7 @@
         p50Ms: routed.p50Ms - direct.p50Ms,
         p99Ms: routed.p99Ms - direct.p99Ms,
       },
+      stolenShare: stolen,
       ...closed,
     };
   } finally {
