Give the young generation 2 MB, to stay within 128 MB

Cause of 129 MB at 1,000 streams and 142 MB at 17,000 teams: the heap grows with the young generation's size, and each process holds three such spaces.

--- a/src/main.ts
+++ b/src/main.ts
@@ -1,4 +1,4 @@
-#!/usr/bin/env -S node --max-semi-space-size=4
+#!/usr/bin/env -S node --max-semi-space-size=2
 /** The command `oriolerouter`. */
 
 import { createProgram } from "./cli/mod.ts";
--- a/tools/fleet/child.ts
+++ b/tools/fleet/child.ts
@@ -8,7 +8,7 @@
 const ROOT = new URL("../../", import.meta.url);
 const STOP_TIMEOUT_MS = 10_000;
 /** As in the first line of src/main.ts: most garbage is short-lived. */
-const NODE_FLAGS = ["--max-semi-space-size=4"];
+const NODE_FLAGS = ["--max-semi-space-size=2"];
 /** Lines of a process's log that are kept. */
 const LOG_LINES = 400;
 
