--- a/bench/main.ts
+++ b/bench/main.ts
@@ -48,7 +48,7 @@
   .action(async () => show(await measureMemory()));
 program
   .command("slopes")
-  .description("Cost per connection, team, grant, update and change")
+  .description("Cost per connection, request, team, grant, update and change")
   .option("--json", "print JSON only")
   .action(async ({ json }: { json?: boolean }) => {
     const slopes = await measureSlopes();
