--- a/bench/slope_fleet.ts
+++ b/bench/slope_fleet.ts
@@ -43,6 +43,21 @@
   }
 }
 
+/** Measures a fleet of its own for each size. */
+export async function usagePerSize(
+  sizes: readonly number[],
+  measure: (fleet: Fleet, size: number) => Promise<Usage>,
+): Promise<Usage[]> {
+  const usages: Usage[] = [];
+  for (const size of sizes) {
+    const usage = await withFleet(createPlan(), (fleet) =>
+      measure(fleet, size),
+    );
+    usages.push(usage);
+  }
+  return usages;
+}
+
 /** Returns the fleet's side process. */
 export function sideOf(fleet: Fleet): Member {
   const [side] = fleet.sideProcesses;
--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -1,4 +1,4 @@
-/** What each role costs per connection, request, team, grant, update and change. */
+/** What each role costs per connection, request, team, grant and change. */
 
 import type { Slope } from "./slope.ts";
 import {
--- a/bench/slopes_of_connections.ts
+++ b/bench/slopes_of_connections.ts
@@ -6,13 +6,11 @@
 import { createIdentity, dial, listen } from "./light_peers.ts";
 import { type Slope, slopesOf } from "./slope.ts";
 import {
-  createPlan,
   linkOf,
   reaches,
   sideOf,
-  type Usage,
   usageOf,
-  withFleet,
+  usagePerSize,
 } from "./slope_fleet.ts";
 
 const SERVICE = "desk-model";
@@ -26,21 +24,16 @@
 export async function routerConnections(
   sizes: readonly number[],
 ): Promise<Slope[]> {
-  const usages: Usage[] = [];
-  for (const size of sizes) {
-    usages.push(
-      await withFleet(createPlan(), async (fleet) => {
-        const side = sideOf(fleet);
-        const dialers = Array.from({ length: size }, (_, index) =>
-          dial(createIdentity("router", `light-${index}`, ""), linkOf(side)),
-        );
-        await reaches(fleet, side, "routers", size + 1);
-        const usage = await usageOf(fleet, side);
-        for (const dialer of dialers) dialer.close();
-        return usage;
-      }),
+  const usages = await usagePerSize(sizes, async (fleet, size) => {
+    const side = sideOf(fleet);
+    const dialers = Array.from({ length: size }, (_, index) =>
+      dial(createIdentity("router", `light-${index}`, ""), linkOf(side)),
     );
-  }
+    await reaches(fleet, side, "routers", size + 1);
+    const usage = await usageOf(fleet, side);
+    for (const dialer of dialers) dialer.close();
+    return usage;
+  });
   return slopesOf("side process", "router connected", sizes, { usages });
 }
 
@@ -48,21 +41,16 @@
 export async function sideProcessConnections(
   sizes: readonly number[],
 ): Promise<Slope[]> {
-  const usages: Usage[] = [];
-  for (const size of sizes) {
-    usages.push(
-      await withFleet(createPlan(), async (fleet) => {
-        const [router] = fleet.routers as [Member];
-        const listeners = await Promise.all(
-          Array.from({ length: size }, (_, index) => addSide(fleet, index)),
-        );
-        await reaches(fleet, router, "sideProcesses", size + 1);
-        const usage = await usageOf(fleet, router);
-        await Promise.all(listeners.map((listener) => listener.close()));
-        return usage;
-      }),
+  const usages = await usagePerSize(sizes, async (fleet, size) => {
+    const [router] = fleet.routers as [Member];
+    const listeners = await Promise.all(
+      Array.from({ length: size }, (_, index) => addSide(fleet, index)),
     );
-  }
+    await reaches(fleet, router, "sideProcesses", size + 1);
+    const usage = await usageOf(fleet, router);
+    await Promise.all(listeners.map((listener) => listener.close()));
+    return usage;
+  });
   return slopesOf("router", "side process connected", sizes, { usages });
 }
 
@@ -87,30 +75,21 @@
 
 /** A side process with light peers that send counters. */
 export async function peerUpdates(sizes: readonly number[]): Promise<Slope[]> {
-  const usages: Usage[] = [];
-  for (const size of sizes) {
-    usages.push(
-      await withFleet(createPlan(), async (fleet) => {
-        const side = sideOf(fleet);
-        const timers: NodeJS.Timeout[] = [];
-        const dialers = Array.from({ length: size }, (_, index) => {
-          const identity = createIdentity(
-            "side-process",
-            `a-${index}`,
-            SERVICE,
-          );
-          return dial(identity, linkOf(side), {
-            greet: (connection) => timers.push(sendUpdates(connection)),
-          });
-        });
-        await reaches(fleet, side, "peers", size);
-        const usage = await usageOf(fleet, side);
-        for (const timer of timers) clearInterval(timer);
-        for (const dialer of dialers) dialer.close();
-        return usage;
-      }),
-    );
-  }
+  const usages = await usagePerSize(sizes, async (fleet, size) => {
+    const side = sideOf(fleet);
+    const timers: NodeJS.Timeout[] = [];
+    const dialers = Array.from({ length: size }, (_, index) => {
+      const identity = createIdentity("side-process", `a-${index}`, SERVICE);
+      return dial(identity, linkOf(side), {
+        greet: (connection) => timers.push(sendUpdates(connection)),
+      });
+    });
+    await reaches(fleet, side, "peers", size);
+    const usage = await usageOf(fleet, side);
+    for (const timer of timers) clearInterval(timer);
+    for (const dialer of dialers) dialer.close();
+    return usage;
+  });
   const of = `peer connected, ${UPDATES_PER_SECOND} updates a second`;
   return slopesOf("side process", of, sizes, { usages });
 }
--- a/bench/stolen_time.ts
+++ b/bench/stolen_time.ts
@@ -2,7 +2,7 @@
 
 import { readFile } from "node:fs/promises";
 
-/** Fields of the first line of /proc/stat, after its name. */
+/** Index of the stolen ticks among the fields after the line's name. */
 const STOLEN_FIELD = 7;
 
 /** Ticks since the machine started. */
--- a/src/fairness/ledger.ts
+++ b/src/fairness/ledger.ts
@@ -177,13 +177,13 @@
     for (const [team, entry] of this.#entries) {
       if (entry.counters.size > ORIGIN_LIMIT) this.#fold(entry);
       entry.unusedCollections += 1;
-      if (!this.#isSpent(entry)) continue;
+      if (!this.#isDroppable(entry)) continue;
       this.#droppedEpoch = Math.max(this.#droppedEpoch, entry.epoch);
       this.#entries.delete(team);
     }
   }
 
-  #isSpent(entry: Account): boolean {
+  #isDroppable(entry: Account): boolean {
     if (entry.unusedCollections <= KEPT_COLLECTIONS) return false;
     const idle = entry.waitingAt.size === 0 && entry.open === 0;
     return idle && standingOf(entry) <= this.#floor;
--- a/src/side_process/keys/key_leases.ts
+++ b/src/side_process/keys/key_leases.ts
@@ -116,9 +116,7 @@
     while (clock.monotonicMs() < untilMs && !this.#stop.signal.aborted) {
       await sleep(TAKEOVER_CHECK_MS, this.#stop.signal);
       const awaited = this.#leases.filter(
-        (lease) =>
-          this.#isAbandoned(lease) &&
-          this.#isFirst(this.#leases.indexOf(lease)),
+        (lease) => this.#isAbandoned(lease) && this.#isFirst(lease),
       );
       await Promise.all(awaited.map((lease) => this.#keep(lease)));
     }
@@ -140,9 +138,8 @@
 
   /** Renews an own lease; acquires one that this process should hold. */
   async #keep(lease: Lease): Promise<void> {
-    const range = this.#leases.indexOf(lease);
     const wasHeld = lease.remainingMs > 0;
-    if (lease.isOwn || this.#isFirst(range)) {
+    if (lease.isOwn || this.#isFirst(lease)) {
       const acquired = await lease.acquire();
       if (!acquired || wasHeld) return;
       this.#heldSinceMs.set(lease, this.#parts.clock.monotonicMs());
@@ -160,7 +157,8 @@
     return lease.unchangedMs > UNRENEWED_MS;
   }
 
-  #isFirst(range: number): boolean {
+  #isFirst(lease: Lease): boolean {
+    const range = this.#leases.indexOf(lease);
     const { service, own } = this.#parts;
     const members = this.#parts.members().map((name) => ({ name }));
     const first = rank(members, `${service}.${range}`)[0];
--- a/src/side_process/peers.ts
+++ b/src/side_process/peers.ts
@@ -106,7 +106,8 @@
     this.#sessions.add(session);
     await session.serve();
     this.#sessions.delete(session);
-    if (session.left || this.#reaches(incarnation)) return;
+    // A newer connection of the same process may have taken over.
+    if (session.left || this.connected.includes(incarnation)) return;
     const atMs = this.#parts.clock.monotonicMs();
     this.#lost.set(incarnation, { instance, atMs });
   }
@@ -198,10 +199,6 @@
     void dialer.run({ host, port });
   }
 
-  #reaches(incarnation: string): boolean {
-    return this.connected.includes(incarnation);
-  }
-
   #byInstance(instance: string): PeerSession | undefined {
     return [...this.#sessions].find((one) => one.instance === instance);
   }
--- a/stand_ins/run_log.ts
+++ b/stand_ins/run_log.ts
@@ -22,10 +22,7 @@
   /** Reads what ran before from the file; an empty name keeps no file. */
   constructor(file: string) {
     this.#file = file;
-    const text =
-      file !== "" && existsSync(file) ? readFileSync(file, "utf8") : "";
-    const lines = text.split("\n").filter((line) => line !== "");
-    this.executions = lines.map((line) => JSON.parse(line) as Execution);
+    this.executions = readRuns(file);
   }
 
   /** Notes that a request starts. */
@@ -49,3 +46,12 @@
     execution.finishedAt = Date.now();
   }
 }
+
+/** Returns the runs that a file keeps; none if there is no such file. */
+export function readRuns(file: string): Execution[] {
+  if (!existsSync(file)) return [];
+  const lines = readFileSync(file, "utf8").split("\n");
+  return lines
+    .filter((line) => line !== "")
+    .map((line) => JSON.parse(line) as Execution);
+}
--- a/tests/scenarios/steps/timing_steps.ts
+++ b/tests/scenarios/steps/timing_steps.ts
@@ -1,8 +1,7 @@
 /** Steps on bounds that the brief states: leaving, giving up. */
 
 import assert from "node:assert/strict";
-import { existsSync, readFileSync } from "node:fs";
-import type { Execution } from "../../../stand_ins/run_log.ts";
+import { type Execution, readRuns } from "../../../stand_ins/run_log.ts";
 import type { StepRegistry } from "../../support/step_registry.ts";
 import type { World } from "../../support/world.ts";
 
@@ -46,10 +45,5 @@
 }
 
 function runsOf(world: World, index: number): Execution[] {
-  const file = world.fleet.backends[index]?.logFile ?? "";
-  if (!existsSync(file)) return [];
-  return readFileSync(file, "utf8")
-    .split("\n")
-    .filter((line) => line !== "")
-    .map((line) => JSON.parse(line) as Execution);
+  return readRuns(world.fleet.backends[index]?.logFile ?? "");
 }
--- a/tests/support/world.ts
+++ b/tests/support/world.ts
@@ -1,36 +1,23 @@
 /** A fleet under test with its callers; the state of one scenario. */
 
-import { createHash } from "node:crypto";
-import { existsSync, readFileSync } from "node:fs";
-import type { Execution } from "../../stand_ins/run_log.ts";
+import { type Execution, readRuns } from "../../stand_ins/run_log.ts";
 import {
   deskDeployment,
   shopDeployment,
 } from "../../tools/fleet/deployments.ts";
 import { Fleet, keyOf } from "../../tools/fleet/fleet.ts";
 import type { LinkPlace, Plan } from "../../tools/fleet/plan.ts";
-import { type CallResult, chat, send } from "../../tools/load/caller.ts";
+import type { CallResult } from "../../tools/load/caller.ts";
 import type { LoadRecord } from "../../tools/load/workload.ts";
 import type { CallRecord } from "./call_record.ts";
+import {
+  type CallOptions,
+  headersOf,
+  sendChat,
+  sendPlain,
+} from "./caller_request.ts";
 import type { ScenarioWorld } from "./feature.ts";
 
-/** What a caller asks for. */
-export interface CallOptions {
-  readonly service?: string;
-  readonly team?: string;
-  readonly tokens?: number;
-  readonly stream?: boolean;
-  /** Absent leaves it to the configuration. */
-  readonly idempotent?: boolean;
-  readonly idempotencyKey?: string;
-  readonly router?: number;
-  /** Body text; a repeat sends the same one. */
-  readonly text?: string;
-  readonly workMs?: number;
-  readonly headers?: Readonly<Record<string, string>>;
-  readonly signal?: AbortSignal;
-}
-
 /** Sizes of a scenario's fleet. */
 export interface FleetSize {
   readonly routers: number;
@@ -159,13 +146,7 @@
 
   /** Everything that ran at any backend server, also before a crash. */
   executions(): Execution[] {
-    return this.fleet.backends.flatMap(({ logFile }) => {
-      if (!existsSync(logFile)) return [];
-      const lines = readFileSync(logFile, "utf8").split("\n");
-      return lines
-        .filter((line) => line !== "")
-        .map((line) => JSON.parse(line) as Execution);
-    });
+    return this.fleet.backends.flatMap(({ logFile }) => readRuns(logFile));
   }
 
   /** Ends everything; shows the logs of a scenario that failed. */
@@ -201,73 +182,3 @@
     console.error("--- calls", Object.fromEntries(kinds));
   }
 }
-
-interface Request {
-  readonly url: string;
-  readonly key: string;
-  readonly service: string;
-  readonly text: string;
-  readonly headers: Record<string, string>;
-  readonly options: CallOptions;
-}
-
-interface Sent {
-  readonly bodyHash: string;
-  readonly result: Promise<CallResult>;
-}
-
-function sendChat({
-  url,
-  key,
-  service,
-  text,
-  headers,
-  options,
-}: Request): Sent {
-  const { tokens: maxTokens = 10, stream = true } = options;
-  const messages = [{ role: "user", content: text }];
-  const body = { model: service, messages, stream, max_tokens: maxTokens };
-  const result = chat({
-    ...{ url, key, headers, maxTokens, stream },
-    model: service,
-    prompt: text,
-    ...(options.signal === undefined ? {} : { signal: options.signal }),
-  });
-  return { bodyHash: hash(JSON.stringify(body)), result };
-}
-
-function sendPlain({
-  url,
-  key,
-  service,
-  text,
-  headers,
-  options,
-}: Request): Sent {
-  const query = `workMs=${options.workMs ?? 10}`;
-  const target = `${url}/services/${service}/orders?${query}`;
-  const result = send(target, { method: "POST", key, body: text, headers });
-  const bodyHash = hash(text);
-  const checked = result.then((answer): CallResult => {
-    if (answer.type !== "answered") return answer;
-    return answer.body.includes(bodyHash)
-      ? answer
-      : { ...answer, type: "wrong" };
-  });
-  return { bodyHash, result: checked };
-}
-
-function headersOf(options: CallOptions): Record<string, string> {
-  const headers: Record<string, string> = { ...options.headers };
-  if (options.idempotent !== undefined) {
-    headers["oriole-idempotent"] = String(options.idempotent);
-  }
-  if (options.idempotencyKey !== undefined) {
-    headers["idempotency-key"] = options.idempotencyKey;
-  }
-  return headers;
-}
-
-function hash(text: string): string {
-  return createHash("sha256").update(text).digest("hex");
-}
