Keep a gate while the entry of its engine's last life ends

It kept one server for each gate, the one it heard of last, so the end of the old entry closed the gate of the present server; four of five gates got no asks from then on (503 lines at one gate, 24 to 98 at the others) and the engines behind them were used by a fixed share of each router.

Change: a gate is left once the last server at its host has left, and is told of the one that started last. Test 'a gate is kept while the entry of its engine's last life ends' fails without it.

--- a/src/direct/gates.ts
+++ b/src/direct/gates.ts
@@ -28,7 +28,11 @@
 
 interface Member {
   readonly link: GateLink;
-  server: BackendServer;
+  /**
+   * By id: the entry of a server that died may outlast the start of the next
+   * one at its host.
+   */
+  readonly servers: Map<string, BackendServer>;
 }
 
 /** One link for each server that runs an engine. */
@@ -50,20 +54,22 @@
     if (!service?.engine) return null;
     const known = this.#members.get(server.host);
     if (known !== undefined) {
-      known.server = server;
+      known.servers.set(server.id, server);
       known.link.sendTerms();
       return known.link;
     }
-    const member = { link: this.#createLink(server.host), server };
-    this.#members.set(server.host, member);
-    member.link.run({ host: server.host, port: this.#parts.settings.gatePort });
-    return member.link;
+    const link = this.#createLink(server.host);
+    const servers = new Map([[server.id, server]]);
+    this.#members.set(server.host, { link, servers });
+    link.run({ host: server.host, port: this.#parts.settings.gatePort });
+    return link;
   }
 
-  /** Closes the connection to the gate of a server that has left. */
+  /** Closes the connection to a gate once the last server there has left. */
   drop(server: BackendServer): void {
     const member = this.#members.get(server.host);
-    if (member === undefined || member.server.id !== server.id) return;
+    if (member === undefined || !member.servers.delete(server.id)) return;
+    if (member.servers.size > 0) return;
     member.link.close();
     this.#members.delete(server.host);
   }
@@ -98,9 +104,9 @@
   }
 
   #terms(host: string): EngineTerms | null {
-    const server = this.#members.get(host)?.server;
+    const server = newestOf(this.#members.get(host)?.servers.values() ?? []);
     const table = this.#sources.table();
-    if (server === undefined || table === null) return null;
+    if (server === null || table === null) return null;
     const engine = table.service(server.service)?.engine;
     if (!engine) return null;
     return {
@@ -114,3 +120,13 @@
     };
   }
 }
+
+/** The server that started last: it is the one that runs. */
+function newestOf(servers: Iterable<BackendServer>): BackendServer | null {
+  let newest: BackendServer | null = null;
+  for (const server of servers) {
+    if (newest !== null && server.startedAtMs < newest.startedAtMs) continue;
+    newest = server;
+  }
+  return newest;
+}
