Let an engine copy a head from its other owner's cache

Reading costs an engine 0.3 s for 13,000 tokens; the operators' configuration says that a cache copies 2,500 tokens in a millisecond.

Change: a request for one of a head's two owners names the other one as a source (Kv-Fetch), when copying is at least four times faster than reading; the speed is decoded from the configuration. Forged Kv-Fetch was dropped before and is tested now.

Gates still count copied heads as read.

--- a/src/direct/dialect.ts
+++ b/src/direct/dialect.ts
@@ -30,6 +30,8 @@
 /** What the router adds to a request for one server. */
 export interface SendTerms {
   readonly server: BackendServer;
+  /** From whose cache it can copy what it lacks; null for none. */
+  readonly source: BackendServer | null;
   readonly remainingMs: number;
   readonly team: string | null;
   /** Event after which a stream goes on; null for a new one. */
--- a/src/direct/exchange.ts
+++ b/src/direct/exchange.ts
@@ -257,12 +257,12 @@
 
   #backendRequest(
     { terms, team, body, deadlineAtMs }: Admitted,
-    { server }: Placement,
+    { server, source }: Placement,
   ) {
     const { clock, dialect } = this.#parts;
     const lastEventId = this.#splitter?.lastId ?? terms.lastEventId;
     const remainingMs = deadlineAtMs - clock.monotonicMs();
-    const sendTerms = { server, remainingMs, team, lastEventId };
+    const sendTerms = { server, source, remainingMs, team, lastEventId };
     return {
       method: this.#request.method ?? "GET",
       path: this.#request.url ?? "/",
--- a/src/routing/fleet_configuration.ts
+++ b/src/routing/fleet_configuration.ts
@@ -8,6 +8,11 @@
   readonly slots: number;
   /** Tokens that one server's KV cache holds. */
   readonly cacheTokens: number;
+  /**
+   * Tokens that a server can copy in a millisecond from another one's cache;
+   * 0 when it can't.
+   */
+  readonly copiedTokensPerMs: number;
 }
 
 /** A group of alike backend servers. */
--- a/src/scheduling/placement.ts
+++ b/src/scheduling/placement.ts
@@ -6,6 +6,7 @@
  * head is cached, and elsewhere only when that saves them time.
  */
 
+import type { BackendServer } from "../directory/mod.ts";
 import type { Demand, Prompt } from "./demand.ts";
 import { privateTokensOf, sharedParts } from "./demand.ts";
 import * as engineRoom from "./engine_room.ts";
@@ -19,6 +20,8 @@
 const OWNERS = 2;
 /** Weight of tokens that would be read again for want of a cached head. */
 const REREAD_WEIGHT = 2;
+/** Copying is worth its price once it is so many times faster than reading. */
+const COPY_GAIN = 4;
 /** Requests at a plain server for each of its slots; more would queue there. */
 const RUNS_PER_SLOT = 1;
 /** Extra cost of a server that fails all requests, in runs. */
@@ -31,6 +34,8 @@
   readonly load: ServerLoad;
   /** Tokens that it is expected to read. */
   readonly uncachedTokens: number;
+  /** From whose cache it can copy what it lacks; null for none. */
+  readonly source: BackendServer | null;
 }
 
 /** Where the request stands. */
@@ -78,7 +83,7 @@
     best = load;
     bestCost = cost;
   }
-  return best === null ? null : { load: best, uncachedTokens: 0 };
+  return best === null ? null : { load: best, uncachedTokens: 0, source: null };
 }
 
 function chooseEngine(
@@ -103,7 +108,7 @@
       uncachedTokens * REREAD_WEIGHT +
       (runs + failureShare * FAILURE_COST_RUNS) * tokensPerMs;
     if (cost >= bestCost) continue;
-    best = { load, uncachedTokens };
+    best = { load, uncachedTokens, source: sourceFor(load, owners) };
     bestCost = cost;
   }
   return best;
@@ -165,3 +170,13 @@
   const { unreadTokens, askedTokens, runs, tokensPerMs } = report;
   return { tokens: unreadTokens + askedTokens, runs, tokensPerMs };
 }
+
+/** The other engine that heads like this one are read at. */
+function sourceFor(
+  load: ServerLoad,
+  owners: readonly ServerLoad[],
+): BackendServer | null {
+  const copied = load.engine?.copiedTokensPerMs ?? 0;
+  if (copied < load.rate.tokensPerMs * COPY_GAIN) return null;
+  return owners.find((owner) => owner !== load)?.server ?? null;
+}
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -19,6 +19,8 @@
   readonly type: "placed";
   readonly server: BackendServer;
   readonly uncachedTokens: number;
+  /** From whose cache the server can copy what it lacks; null for none. */
+  readonly source: BackendServer | null;
   /** Notes that the first token came. */
   read(): void;
   /** Gives the place back. */
@@ -203,7 +205,8 @@
     return true;
   }
 
-  #ask(pending: Request, { load }: Choice, gate: GateAccess): void {
+  #ask(pending: Request, choice: Choice, gate: GateAccess): void {
+    const { load } = choice;
     const { demand } = pending;
     if (demand.prompt === null) return;
     const nowMs = this.#nowMs;
@@ -215,7 +218,7 @@
     const withdraw = gate.ask(question, {
       permitted: (permit) => {
         const { uncachedTokens } = permit;
-        this.#send(pending, { load, uncachedTokens }, permit);
+        this.#send(pending, { ...choice, uncachedTokens }, permit);
       },
       lost: () => this.#returnToLine(pending),
     });
@@ -225,7 +228,7 @@
 
   #send(
     pending: Request,
-    { load, uncachedTokens }: Choice,
+    { load, uncachedTokens, source }: Choice,
     permit: Permit | null,
   ): void {
     const { prompt } = pending.demand;
@@ -233,7 +236,7 @@
     const run = load.begin(prompt, { uncachedTokens, nowMs });
     let ended = false;
     this.#settle(pending, {
-      ...{ type: "placed", server: load.server, uncachedTokens },
+      ...{ type: "placed", server: load.server, uncachedTokens, source },
       read: () => {
         permit?.begun();
         this.#noteRead(load, run);
--- a/tests/direct/gates_test.ts
+++ b/tests/direct/gates_test.ts
@@ -34,7 +34,7 @@
     { events },
   );
   await admission.start();
-  const engine = { slots: 8, cacheTokens: 10_000 };
+  const engine = { slots: 8, cacheTokens: 10_000, copiedTokensPerMs: 0 };
   const services = [{ name: "desk", maxConnections: 100, engine }];
   const table = new RouteTable(createConfiguration({ services }));
   const gates = new Gates(
--- a/tests/on_platform/decoders_test.ts
+++ b/tests/on_platform/decoders_test.ts
@@ -106,10 +106,20 @@
   assert.deepEqual(decoded.services[0]?.engine, {
     slots: 64,
     cacheTokens: 1000,
+    copiedTokensPerMs: 0,
   });
   assert.equal(decoded.services[1]?.engine, null);
 });
 
+test("the link between two caches tells how fast they copy", () => {
+  const linked = { slots: 64, kvCapacity: 1000, kvTokenBytes: 20_000 };
+  const engine = { ...linked, linkMbps: 400_000 };
+  const services = [{ name: "m", maxConns: 360, engine }];
+  const decoded = configurationDecoder.decode({ ...CONFIGURATION, services });
+  const [service] = decoded._unsafeUnwrap().services;
+  assert.equal(service?.engine?.copiedTokensPerMs, 2_500);
+});
+
 test("only what is marked idempotent or resumable may run again", () => {
   const [route] = CONFIGURATION.routes;
   const repetitions = [
@@ -161,12 +171,25 @@
     ...["Host", "h", "X-Attempt-Id", "id", "Authorization", "Token k"],
     ...["X-Tenant", "forged", "X-Hold", "1", "Kv-From", "x", "X-Pin-Ms", "1"],
     ...["X-Kv-Backup", "x", "Connection", "X-Mine", "X-Mine", "1"],
-    ...["X-Other", "kept", "X-Expect-Replica", "forged"],
+    ...["X-Other", "kept", "X-Expect-Replica", "forged", "Kv-Fetch", "x"],
   ];
-  const terms = { server, remainingMs: 900.7, team: "t", lastEventId: null };
+  const terms = {
+    ...{ server, source: null, remainingMs: 900.7 },
+    ...{ team: "t", lastEventId: null },
+  };
   const sent = headerDialect.sendHeaders(raw, terms);
   assert.deepEqual(sent, [
     ...["Host", "h", "X-Attempt-Id", "id", "X-Other", "kept"],
     ...["X-Deadline-Ms", "900", "X-Expect-Replica", "i-1", "X-Tenant", "t"],
   ]);
 });
+
+test("a server is told from whose cache it can copy", () => {
+  const server = serverDecoder
+    .decode({ name: "i-1", revision: 1, spec: ENTRY })
+    ._unsafeUnwrap();
+  const source = { ...server, id: "i-2", host: "10.0.0.2", port: 80 };
+  const terms = { server, source, remainingMs: 900, team: null };
+  const sent = headerDialect.sendHeaders([], { ...terms, lastEventId: null });
+  assert.equal(sent[sent.indexOf("Kv-Fetch") + 1], "10.0.0.2:80");
+});
--- a/tests/scheduling/placement_test.ts
+++ b/tests/scheduling/placement_test.ts
@@ -3,15 +3,20 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { BackendServer } from "../../src/directory/mod.ts";
+import type { Engine } from "../../src/routing/mod.ts";
 import type { Demand } from "../../src/scheduling/demand.ts";
 import { choose } from "../../src/scheduling/placement.ts";
 import { ReadingRate } from "../../src/scheduling/reading_rate.ts";
 import { ServerLoad } from "../../src/scheduling/server_load.ts";
 
-const ENGINE = { slots: 16, cacheTokens: 400_000 };
+const ENGINE = { slots: 16, cacheTokens: 400_000, copiedTokensPerMs: 0 };
 const SITE = { availabilityZone: "a", nowMs: 1_000, share: 1 };
 
-function createLoad(id: string, change: Partial<BackendServer> = {}) {
+function createLoad(
+  id: string,
+  change: Partial<BackendServer> = {},
+  engine: Engine = ENGINE,
+) {
   const server: BackendServer = {
     id,
     service: "chat",
@@ -24,7 +29,7 @@
     ...change,
   };
   const parts = { rate: new ReadingRate(40), gate: null };
-  return new ServerLoad(server, ENGINE, parts);
+  return new ServerLoad(server, engine, parts);
 }
 
 function createDemand(change: Partial<Demand> = {}): Demand {
@@ -86,6 +91,25 @@
   assert.notEqual(second.id, owner.id);
 });
 
+test("an owner can copy from the other one when links are fast", () => {
+  const sourceAt = (copiedTokensPerMs: number) => {
+    const engine = { ...ENGINE, copiedTokensPerMs };
+    const loads = ["e1", "e2", "e3"].map((id) => createLoad(id, {}, engine));
+    const demand = createDemand({ prompt: createPrompt("head", "own") });
+    const first = choose(demand, loads, SITE);
+    assert.ok(first);
+    const long = { parts: [], model: "m", inputTokens: 0, outputTokens: 0 };
+    first.load.begin(long, { uncachedTokens: 30_000, nowMs: 0 });
+    const second = choose(demand, loads, SITE);
+    return { first: first.load.id, source: second?.source?.id ?? null };
+  };
+  const fast = sourceAt(2_500);
+  assert.equal(fast.source, fast.first);
+  // Reading takes 1 ms for 40 tokens; copying is not much faster.
+  assert.equal(sourceAt(80).source, null);
+  assert.equal(sourceAt(0).source, null);
+});
+
 test("servers that drain, rest or were tried get nothing", () => {
   const draining = createLoad("d", { state: "draining" });
   const resting = createLoad("r");
