Reckon choices in time, tell slow engines, weigh copies

Ruled out: want of processor time at gates (0.026 of 0.54 cores).

Change: a choice compares milliseconds; the rate that a gate tells falls once its oldest unread prompt takes longer than reckoned by 0.3 s; a copied token weighs like one that stands before the request.

--- a/src/admission/gate.ts
+++ b/src/admission/gate.ts
@@ -17,6 +17,7 @@
   ReadingRate,
   type Run,
   RunningWork,
+  SMALLEST_SAMPLE_TOKENS,
   type work,
 } from "../scheduling/mod.ts";
 import { TokenBudget } from "./token_budget.ts";
@@ -27,6 +28,12 @@
  */
 const FEW_RUNS_SHARE = 0.25;
 
+/**
+ * Time that a prompt may take beyond reading: engines read in steps, beside
+ * the streams that run. What takes longer tells of an engine that is slow.
+ */
+const SLACK_MS = 300;
+
 /** Where permits go. */
 export interface Router {
   permit(ask: number, uncachedTokens: number): void;
@@ -70,7 +77,7 @@
 
   /** What there is to do, for all routers. */
   get load(): GateLoad {
-    const tokensPerMs = this.#rate.tokensPerMs;
+    const tokensPerMs = this.#presentRate;
     let askedTokens = 0;
     for (const line of this.#waiting.values()) {
       for (const { ask } of line) askedTokens += this.#uncached(ask);
@@ -204,6 +211,16 @@
     return engineRoom.hasRoom(this.#work.work, addition, { engine, share: 1 });
   }
 
+  /** What is learned, less while a prompt takes longer than it should. */
+  get #presentRate(): number {
+    const { tokensPerMs } = this.#rate;
+    const oldest = this.#work.oldestUnread;
+    if (oldest === null) return tokensPerMs;
+    const waitedMs = this.#clock.monotonicMs() - oldest.sentAtMs;
+    const tokens = Math.max(oldest.aheadTokens, SMALLEST_SAMPLE_TOKENS);
+    return Math.min(tokensPerMs, tokens / Math.max(1, waitedMs - SLACK_MS));
+  }
+
   /** Nothing is left to read, and few streams would wait for it. */
   #isIdle({ slots }: EngineTerms): boolean {
     const { runs, unreadTokens } = this.#work.work;
--- a/src/scheduling/placement.ts
+++ b/src/scheduling/placement.ts
@@ -20,13 +20,24 @@
 const OWNERS = 2;
 /** Weight of tokens that would be read again for want of a cached head. */
 const REREAD_WEIGHT = 2;
+/**
+ * Weight of tokens that would be copied: it takes little time, but the copy
+ * takes room from other heads.
+ */
+const COPY_WEIGHT = 1;
 /** Copying is worth its price once it is so many times faster than reading. */
 const COPY_GAIN = 4;
 const NO_SOURCE = { source: null, copiedTokens: 0 };
 /** Requests at a plain server for each of its slots; more would queue there. */
 const RUNS_PER_SLOT = 1;
-/** Extra cost of a server that fails all requests, in runs. */
+/** Extra cost of a plain server that fails all requests, in runs. */
 const FAILURE_COST_RUNS = 30;
+/** Extra cost of an engine that fails all requests: a late first event. */
+const FAILURE_COST_MS = 30;
+/** Cost of a stream that runs: each lengthens the others' steps a little. */
+const RUN_COST_MS = 1;
+/** Keeps the cost of an engine that has stopped finite. */
+const SLOWEST_TOKENS_PER_MS = 0.01;
 /** Extra cost of a plain server in another availability zone, in runs. */
 const OTHER_ZONE_COST_RUNS = 0.5;
 
@@ -100,8 +111,9 @@
   let bestCost = Number.POSITIVE_INFINITY;
   for (const [order, load] of owners.entries()) {
     const source = sourceFor(load, prompt, owners);
+    const missingTokens = missingAt(load, prompt, order === 0);
     const uncachedTokens = Math.min(
-      uncachedAt(load, prompt, order === 0),
+      missingTokens,
       prompt.inputTokens - source.copiedTokens,
     );
     const isOpen =
@@ -110,10 +122,14 @@
     if (!isOpen) continue;
     const { failureShare } = load.health;
     const { tokens, runs, tokensPerMs } = aheadAt(load, site.share);
-    const cost =
+    const weighedTokens =
       tokens +
       uncachedTokens * REREAD_WEIGHT +
-      (runs + failureShare * FAILURE_COST_RUNS) * tokensPerMs;
+      (missingTokens - uncachedTokens) * COPY_WEIGHT;
+    const cost =
+      weighedTokens / Math.max(tokensPerMs, SLOWEST_TOKENS_PER_MS) +
+      runs * RUN_COST_MS +
+      failureShare * FAILURE_COST_MS;
     if (cost >= bestCost) continue;
     best = { load, uncachedTokens, ...source };
     bestCost = cost;
@@ -131,12 +147,8 @@
   return rank(deepest.id, usable).slice(0, OWNERS);
 }
 
-/** Tokens that an engine would have to read. */
-function uncachedAt(
-  load: ServerLoad,
-  prompt: Prompt,
-  isOwner: boolean,
-): number {
+/** Tokens that an engine doesn't have. */
+function missingAt(load: ServerLoad, prompt: Prompt, isOwner: boolean): number {
   const own = prompt.parts.at(-1)?.tokens ?? prompt.inputTokens;
   // Other routers' requests have had the head read at its owner.
   if (isOwner) return own;
--- a/src/scheduling/reading_rate.ts
+++ b/src/scheduling/reading_rate.ts
@@ -3,7 +3,7 @@
 /** Samples that decide, once there are as many. */
 const MEMORY_SAMPLES = 20;
 /** Samples with fewer tokens tell of fixed costs, not of the rate. */
-const SMALLEST_SAMPLE_TOKENS = 2_000;
+export const SMALLEST_SAMPLE_TOKENS = 2_000;
 /** A single sample moves the estimate within these factors. */
 const SAMPLE_RANGE = 3;
 
--- a/src/scheduling/running_work.ts
+++ b/src/scheduling/running_work.ts
@@ -21,12 +21,20 @@
 /** Work that begins, is read and ends. */
 export class RunningWork {
   #work: Work = IDLE;
+  /** In the order in which they were sent. */
+  readonly #unread = new Set<Run>();
 
   /** The sum of all that runs. */
   get work(): Work {
     return this.#work;
   }
 
+  /** The request that has waited longest for its first event. */
+  get oldestUnread(): Run | null {
+    const [oldest = null] = this.#unread;
+    return oldest;
+  }
+
   /** Notes a request that is sent now. */
   begin({ uncachedTokens, privateTokens }: RunSize, nowMs: number): Run {
     const run = {
@@ -35,6 +43,7 @@
       sentAtMs: nowMs,
     };
     this.#work = add(this.#work, workOf(run));
+    if (run.unreadTokens > 0) this.#unread.add(run);
     return run;
   }
 
@@ -43,10 +52,12 @@
     const { unreadTokens } = run;
     this.#work = subtract(this.#work, { ...IDLE, unreadTokens });
     run.unreadTokens = 0;
+    this.#unread.delete(run);
   }
 
   /** Notes that a request has ended. */
   end(run: Run): void {
+    this.#unread.delete(run);
     this.#work = subtract(this.#work, workOf(run));
   }
 }
--- a/tests/admission/gate_test.ts
+++ b/tests/admission/gate_test.ts
@@ -265,6 +265,19 @@
   );
 });
 
+test("an engine that stops reading is told as slow", () => {
+  const { clock, gate, router } = createGate();
+  const ask = createAsk("a");
+  gate.ask(router, ask);
+  clock.pass(600);
+  // 12,000 tokens take 300 ms, and steps beside streams as long again.
+  assert.equal(gate.load.tokensPerMs, TOKENS_PER_MS);
+  clock.pass(2_400);
+  assert.ok(gate.load.tokensPerMs < 5, `${gate.load.tokensPerMs} tokens/ms`);
+  gate.begun(router, ask.ask);
+  assert.ok(gate.load.tokensPerMs > 10, `${gate.load.tokensPerMs} tokens/ms`);
+});
+
 test("what may still be on time goes before what is late", () => {
   const { clock, gate, router } = createGate();
   const blocker = createAsk("x");
--- a/tests/scheduling/placement_test.ts
+++ b/tests/scheduling/placement_test.ts
@@ -5,6 +5,10 @@
 import type { BackendServer } from "../../src/directory/mod.ts";
 import type { Engine } from "../../src/routing/mod.ts";
 import type { Demand } from "../../src/scheduling/demand.ts";
+import type {
+  EngineReport,
+  GateAccess,
+} from "../../src/scheduling/gate_access.ts";
 import { choose } from "../../src/scheduling/placement.ts";
 import { ReadingRate } from "../../src/scheduling/reading_rate.ts";
 import { ServerLoad } from "../../src/scheduling/server_load.ts";
@@ -12,10 +16,27 @@
 const ENGINE = { slots: 16, cacheTokens: 400_000, copiedTokensPerMs: 0 };
 const SITE = { availabilityZone: "a", nowMs: 1_000, share: 1 };
 
+interface LoadOptions {
+  readonly engine?: Engine;
+  readonly gate?: GateAccess | null;
+}
+
+/** A gate with some work before its engine. */
+function createGate(change: Partial<EngineReport> = {}): GateAccess {
+  const work = { runs: 4, unreadTokens: 8_000, privateTokens: 0 };
+  const load = { asks: 0, askedTokens: 0, tokensPerMs: 40, routers: 1 };
+  return {
+    connected: true,
+    report: { ...work, ...load, ...change },
+    ask: () => () => {},
+    serviceOf: () => 0,
+  };
+}
+
 function createLoad(
   id: string,
   change: Partial<BackendServer> = {},
-  engine: Engine = ENGINE,
+  { engine = ENGINE, gate = null }: LoadOptions = {},
 ) {
   const server: BackendServer = {
     id,
@@ -28,7 +49,7 @@
     startedAtMs: 0,
     ...change,
   };
-  const parts = { rate: new ReadingRate(40), gate: null };
+  const parts = { rate: new ReadingRate(40), gate };
   return new ServerLoad(server, engine, parts);
 }
 
@@ -94,7 +115,9 @@
 test("an owner can copy from the other one when links are fast", () => {
   const sourceAt = (copiedTokensPerMs: number) => {
     const engine = { ...ENGINE, copiedTokensPerMs };
-    const loads = ["e1", "e2", "e3"].map((id) => createLoad(id, {}, engine));
+    const loads = ["e1", "e2", "e3"].map((id) =>
+      createLoad(id, {}, { engine }),
+    );
     const demand = createDemand({ prompt: createPrompt("head", "own") });
     const first = choose(demand, loads, SITE);
     assert.ok(first);
@@ -110,6 +133,19 @@
   assert.equal(sourceAt(0).source, null);
 });
 
+test("an engine that has become slow is left for the second owner", () => {
+  const demand = createDemand({ prompt: createPrompt("head", "own") });
+  const even = ["e1", "e2"].map((id) =>
+    createLoad(id, {}, { gate: createGate() }),
+  );
+  const owner = choose(demand, even, SITE)?.load.id;
+  const slowed = ["e1", "e2"].map((id) => {
+    const tokensPerMs = id === owner ? 4 : 40;
+    return createLoad(id, {}, { gate: createGate({ tokensPerMs }) });
+  });
+  assert.notEqual(choose(demand, slowed, SITE)?.load.id, owner);
+});
+
 test("servers that drain, rest or were tried get nothing", () => {
   const draining = createLoad("d", { state: "draining" });
   const resting = createLoad("r");
