--- a/src/direct/settings.ts
+++ b/src/direct/settings.ts
@@ -22,6 +22,8 @@
   readonly graceSeconds: number;
   /** Milliseconds in which a key that was taken away must be refused. */
   readonly revocationMs: number;
+  /** Milliseconds in which a lost answer of the registry must be noticed. */
+  readonly noticeMs: number;
   readonly retries: {
     /** Repeats for each request. */
     readonly ratio: number;
@@ -41,7 +43,8 @@
   type: "object",
   required: [
     ...["instance", "availabilityZone", "entry", "ready", "registry"],
-    ...["gatePort", "fleetKey", "graceSeconds", "revocationMs", "retries"],
+    ...["gatePort", "fleetKey", "graceSeconds", "revocationMs", "noticeMs"],
+    "retries",
   ],
   properties: {
     instance: text,
@@ -54,6 +57,7 @@
     fleetKey: { type: "string", minLength: 16 },
     graceSeconds: amount,
     revocationMs: amount,
+    noticeMs: amount,
     retries: {
       type: "object",
       required: ["ratio", "windowSeconds", "slack"],
--- a/tests/direct/fixture.ts
+++ b/tests/direct/fixture.ts
@@ -51,6 +51,7 @@
       fleetKey: "key of the test fleet",
       graceSeconds,
       revocationMs: 5_000,
+      noticeMs: 3_000,
       retries: { ratio: 1, windowSeconds: 10, slack: 100 },
     },
     { events, dialect: headerDialect },
--- a/tests/on_platform/kind_feed_test.ts
+++ b/tests/on_platform/kind_feed_test.ts
@@ -29,7 +29,8 @@
   server = await serve((...args) => store.handle(...args), 0);
   agent = new Agent();
   const client = new StoreClient(`127.0.0.1:${portOf(server)}`, agent);
-  feed = new KindFeed(client, "servers", { clock: systemClock, events });
+  const parts = { clock: systemClock, events, noticeMs: 3_000 };
+  feed = new KindFeed(client, "servers", parts);
   known = new Map();
   told = [];
   confirmedMs = [];
