Share failures through gates, let them fade, move heads away from them

Change: the end of each permit tells how the request ended; a gate reports its engine's share of failures to all routers; past failures count half after 4 s; a failure costs the request's objective; an engine over one half is left out while most others are sound, so its heads move to the next owner.

--- a/src/admission/gate.ts
+++ b/src/admission/gate.ts
@@ -9,7 +9,7 @@
 
 import type { Clock } from "../common/clock.ts";
 import { RecentService } from "../fairness/mod.ts";
-import type { Ask, EngineTerms, Held } from "../protocol/mod.ts";
+import type { Ask, EngineTerms, Held, PermitOutcome } from "../protocol/mod.ts";
 import {
   engineRoom,
   PromptMemory,
@@ -17,6 +17,7 @@
   ReadingRate,
   type Run,
   RunningWork,
+  ServerHealth,
   SMALLEST_SAMPLE_TOKENS,
   type work,
 } from "../scheduling/mod.ts";
@@ -51,6 +52,8 @@
   readonly asks: number;
   readonly askedTokens: number;
   readonly tokensPerMs: number;
+  /** Share of recent requests that the engine failed, 0 to 1. */
+  readonly failureShare: number;
 }
 
 /** Authority over one engine. */
@@ -66,6 +69,7 @@
   #found: readonly PromptPart[] = [];
   #rate = new ReadingRate(0);
   readonly #work = new RunningWork();
+  #health = new ServerHealth();
   readonly #budget: TokenBudget;
   #asks = 0;
 
@@ -82,7 +86,9 @@
     for (const line of this.#waiting.values()) {
       for (const { ask } of line) askedTokens += this.#uncached(ask);
     }
-    return { ...this.#work.work, asks: this.#asks, askedTokens, tokensPerMs };
+    const failureShare = this.#health.failureShare(this.#clock.monotonicMs());
+    const asked = { asks: this.#asks, askedTokens };
+    return { ...this.#work.work, ...asked, tokensPerMs, failureShare };
   }
 
   /** Takes what a router knows of the engine; older news is ignored. */
@@ -94,6 +100,7 @@
     if (before === null || !isSameStart(terms, before)) {
       this.#memory = new PromptMemory(terms.cacheTokens);
       this.#memory.note({ parts: this.#found });
+      this.#health = new ServerHealth();
       this.#found = [];
     }
     if (before === null) this.#rate = new ReadingRate(terms.tokensPerMs);
@@ -143,10 +150,13 @@
   }
 
   /** Notes that a request has ended. */
-  finish(router: Router, ask: number): void {
+  finish(router: Router, ask: number, outcome: PermitOutcome): void {
     const runs = this.#running.get(router);
     const run = runs?.get(ask);
     if (run === undefined) return;
+    if (outcome !== "neutral") {
+      this.#health.noteOutcome(outcome, this.#clock.monotonicMs());
+    }
     runs?.delete(ask);
     this.#work.end(run);
     this.serve();
--- a/src/admission/router_session.ts
+++ b/src/admission/router_session.ts
@@ -61,7 +61,7 @@
         this.#gate.begun(this, message.ask);
         return;
       case "finished":
-        this.#gate.finish(this, message.ask);
+        this.#gate.finish(this, message.ask, message.outcome);
         return;
       case "strike":
         this.#struck(message);
--- a/src/direct/gate_link.ts
+++ b/src/direct/gate_link.ts
@@ -9,6 +9,7 @@
   Message,
   PackedPart,
   Permit as PermitMessage,
+  PermitOutcome,
   ServerReport,
   Strike,
 } from "../protocol/mod.ts";
@@ -16,6 +17,7 @@
   costOf,
   type EngineReport,
   type GateAccess,
+  type Outcome,
   type Permit,
   type Prompt,
   type Question,
@@ -180,7 +182,8 @@
     const asked = this.#asked.get(ask);
     if (asked === undefined) {
       // It was withdrawn while the permit was on its way.
-      this.#connection?.send({ type: "finished", ask });
+      const outcome = "neutral";
+      this.#connection?.send({ type: "finished", ask, outcome });
       return;
     }
     this.#asked.delete(ask);
@@ -198,14 +201,31 @@
         running.begun = true;
         this.#connection?.send({ type: "begun", ask });
       },
-      finish: () => {
+      finish: (outcome) => {
         if (!this.#running.delete(ask)) return;
-        this.#connection?.send({ type: "finished", ask });
+        const told = toldOf(outcome);
+        this.#connection?.send({ type: "finished", ask, outcome: told });
       },
     };
   }
 }
 
+/** What an outcome tells of the server, whoever sent the request. */
+function toldOf(outcome: Outcome): PermitOutcome {
+  switch (outcome) {
+    case "served":
+    case "failed":
+    case "neutral":
+      return outcome;
+    case "unreachable":
+      return "failed";
+    case "shed":
+      return "neutral";
+    default:
+      return outcome satisfies never;
+  }
+}
+
 function pack({ parts }: Prompt): PackedPart[] {
   return parts.map(({ id, tokens }) => [id, tokens]);
 }
--- a/src/protocol/admission_messages.ts
+++ b/src/protocol/admission_messages.ts
@@ -61,10 +61,14 @@
   readonly ask: number;
 }
 
+/** How a permitted request ended, as far as it tells of the server. */
+export type PermitOutcome = "served" | "failed" | "neutral";
+
 /** Gives a permit back. */
 export interface Finished {
   readonly type: "finished";
   readonly ask: number;
+  readonly outcome: PermitOutcome;
 }
 
 /** Lets a router send the request that it asked for. */
@@ -88,6 +92,8 @@
   /** Tokens that would be read for what asks. */
   readonly askedTokens: number;
   readonly tokensPerMs: number;
+  /** Share of recent requests that the server failed, 0 to 1. */
+  readonly failureShare: number;
   readonly routers: number;
   /** Only teams whose service has changed. */
   readonly teams: readonly TeamService[];
--- a/src/protocol/schema.ts
+++ b/src/protocol/schema.ts
@@ -137,7 +137,7 @@
   held: { ask: count, ...prompt, begun: flag },
   withdraw: { ask: count },
   begun: { ask: count },
-  finished: { ask: count },
+  finished: { ask: count, outcome: { enum: ["served", "failed", "neutral"] } },
   permit: { ask: count, uncachedTokens: amount },
   "server-report": {
     runs: count,
@@ -146,6 +146,7 @@
     asks: count,
     askedTokens: amount,
     tokensPerMs: amount,
+    failureShare: amount,
     routers: count,
     teams,
   },
--- a/src/scheduling/gate_access.ts
+++ b/src/scheduling/gate_access.ts
@@ -1,6 +1,7 @@
 /** How a router asks the authority over one engine. */
 
 import type { Demand, Prompt } from "./demand.ts";
+import type { Outcome } from "./outcome.ts";
 import type { Work } from "./work.ts";
 
 /** What the authority says of its engine, for all routers. */
@@ -8,6 +9,8 @@
   readonly asks: number;
   readonly askedTokens: number;
   readonly tokensPerMs: number;
+  /** Share of recent requests that it failed, 0 to 1. */
+  readonly failureShare: number;
   /** Routers that are connected to the authority. */
   readonly routers: number;
 }
@@ -18,7 +21,7 @@
   /** Notes that the first event has come. */
   begun(): void;
   /** Gives the permit back. */
-  finish(): void;
+  finish(outcome: Outcome): void;
 }
 
 /** What is asked for one request. */
--- a/src/scheduling/placement.ts
+++ b/src/scheduling/placement.ts
@@ -32,8 +32,8 @@
 const RUNS_PER_SLOT = 1;
 /** Extra cost of a plain server that fails all requests, in runs. */
 const FAILURE_COST_RUNS = 30;
-/** Extra cost of an engine that fails all requests: a late first event. */
-const FAILURE_COST_MS = 30;
+/** Engines that fail more than this are left out while most others don't. */
+const LEFT_OUT_SHARE = 0.5;
 /** Cost of a stream that runs: each lengthens the others' steps a little. */
 const RUN_COST_MS = 1;
 /** Keeps the cost of an engine that has stopped finite. */
@@ -73,12 +73,23 @@
       health.isUsable(site.nowMs),
   );
   if (demand.prompt === null) return choosePlain(usable, site);
-  return chooseEngine(demand, demand.prompt, usable, site);
+  return chooseEngine(demand, demand.prompt, soundOf(usable, site), site);
+}
+
+/** Without engines that fail; all of them when most do. */
+function soundOf(
+  usable: readonly ServerLoad[],
+  { nowMs }: Site,
+): readonly ServerLoad[] {
+  const sound = usable.filter(
+    (load) => load.failureShare(nowMs) <= LEFT_OUT_SHARE,
+  );
+  return sound.length * 2 >= usable.length ? sound : usable;
 }
 
 function choosePlain(
   usable: readonly ServerLoad[],
-  { availabilityZone, share }: Site,
+  { availabilityZone, nowMs, share }: Site,
 ): Choice | null {
   let best: ServerLoad | null = null;
   let bestCost = Number.POSITIVE_INFINITY;
@@ -91,7 +102,7 @@
     const cost =
       runs +
       far * OTHER_ZONE_COST_RUNS +
-      health.failureShare * FAILURE_COST_RUNS +
+      health.failureShare(nowMs) * FAILURE_COST_RUNS +
       Math.random() / 2;
     if (cost >= bestCost) continue;
     best = load;
@@ -120,7 +131,6 @@
       load.gate?.connected === true ||
       hasRoom(load, demand, { uncachedTokens, site });
     if (!isOpen) continue;
-    const { failureShare } = load.health;
     const { tokens, runs, tokensPerMs } = aheadAt(load, site.share);
     const weighedTokens =
       tokens +
@@ -129,7 +139,7 @@
     const cost =
       weighedTokens / Math.max(tokensPerMs, SLOWEST_TOKENS_PER_MS) +
       runs * RUN_COST_MS +
-      failureShare * FAILURE_COST_MS;
+      load.failureShare(site.nowMs) * demand.objectiveMs;
     if (cost >= bestCost) continue;
     best = { load, uncachedTokens, ...source };
     bestCost = cost;
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -6,6 +6,7 @@
 import type { Engine, RouteTable } from "../routing/mod.ts";
 import type { Demand } from "./demand.ts";
 import type { GateAccess, Permit } from "./gate_access.ts";
+import type { Outcome } from "./outcome.ts";
 import { Pending } from "./pending.ts";
 import { type Choice, choose, type Site } from "./placement.ts";
 import { ReadingRate } from "./reading_rate.ts";
@@ -27,18 +28,6 @@
   end(outcome: Outcome): void;
 }
 
-/** How a request at a server ended. */
-export type Outcome =
-  | "served"
-  /** The server broke off, or answered that it failed. */
-  | "failed"
-  /** The server took no connection. */
-  | "unreachable"
-  /** The server said that it has no room. */
-  | "shed"
-  /** Neither well nor badly, such as a caller that left. */
-  | "neutral";
-
 /** What becomes of a request. */
 export type Decision =
   | Placement
@@ -244,7 +233,7 @@
       end: (outcome) => {
         if (ended) return;
         ended = true;
-        permit?.finish();
+        permit?.finish(outcome);
         this.#noteEnd(load, run, outcome);
       },
     });
@@ -293,7 +282,7 @@
     switch (outcome) {
       case "served":
       case "failed":
-        health.noteOutcome(outcome);
+        health.noteOutcome(outcome, this.#nowMs);
         break;
       case "unreachable":
         health.noteUnreachable(this.#nowMs);
--- a/src/scheduling/server_health.ts
+++ b/src/scheduling/server_health.ts
@@ -6,16 +6,23 @@
 const LONGEST_REST_MS = 2_000;
 /** Weight of the newest outcome; about five outcomes decide. */
 const LEARNING_RATE = 0.2;
+/**
+ * Time in which past failures count half: a server that gets no requests
+ * can't show that it is well again.
+ */
+const HALF_LIFE_MS = 4_000;
 
 /** Outcomes of one server. */
 export class ServerHealth {
   #restUntilMs = Number.NEGATIVE_INFINITY;
   #unreachable = 0;
   #failureShare = 0;
+  #judgedAtMs = 0;
 
   /** Share of recent requests that it failed, 0 to 1. */
-  get failureShare(): number {
-    return this.#failureShare;
+  failureShare(nowMs: number): number {
+    const ageMs = nowMs - this.#judgedAtMs;
+    return this.#failureShare * 0.5 ** (ageMs / HALF_LIFE_MS);
   }
 
   /** Whether it may be tried at all. */
@@ -36,9 +43,11 @@
   }
 
   /** Notes how a request ended. */
-  noteOutcome(outcome: "served" | "failed"): void {
+  noteOutcome(outcome: "served" | "failed", nowMs: number): void {
     const sample = outcome === "failed" ? 1 : 0;
-    this.#failureShare += LEARNING_RATE * (sample - this.#failureShare);
+    const share = this.failureShare(nowMs);
+    this.#failureShare = share + LEARNING_RATE * (sample - share);
+    this.#judgedAtMs = nowMs;
     if (outcome === "served") this.#unreachable = 0;
   }
 }
--- a/src/scheduling/server_load.ts
+++ b/src/scheduling/server_load.ts
@@ -38,6 +38,12 @@
     return this.server.id;
   }
 
+  /** Share of recent requests that it failed, here or at any router. */
+  failureShare(nowMs: number): number {
+    const seenByAll = this.gate?.report?.failureShare ?? 0;
+    return Math.max(this.health.failureShare(nowMs), seenByAll);
+  }
+
   /** Work that this router has there. */
   get own(): Work {
     return this.#own.work;
--- a/tests/admission/gate_test.ts
+++ b/tests/admission/gate_test.ts
@@ -136,7 +136,7 @@
   gate.ask(router, first);
   gate.ask(router, second);
   gate.withdraw(router, second.ask);
-  gate.finish(router, first.ask);
+  gate.finish(router, first.ask, "served");
   assert.deepEqual(router.permits, [first.ask]);
 });
 
@@ -148,8 +148,8 @@
   gate.hold(router, { ...held, ask: 2, begun: false });
   assert.equal(gate.load.runs, 2);
   assert.equal(gate.load.unreadTokens, 4_000);
-  gate.finish(router, 1);
-  gate.finish(router, 2);
+  gate.finish(router, 1, "served");
+  gate.finish(router, 2, "served");
   assert.equal(gate.load.runs, 0);
 });
 
@@ -175,7 +175,7 @@
         });
         running.push({
           endsAtMs: begunAtMs + 200,
-          done: () => gate.finish(router, ask),
+          done: () => gate.finish(router, ask, "served"),
         });
       },
     };
@@ -216,7 +216,7 @@
     permit: (ask, uncachedTokens) => {
       read.tokens += uncachedTokens;
       gate.begun(router, ask);
-      gate.finish(router, ask);
+      gate.finish(router, ask, "served");
     },
   };
   return { read, router };
@@ -265,6 +265,28 @@
   );
 });
 
+test("all routers are told of an engine that fails, and that it is past", () => {
+  const { clock, gate, router } = createGate();
+  for (let i = 0; i < 5; i += 1) {
+    const ask = createAsk("a");
+    gate.ask(router, ask);
+    gate.finish(router, ask.ask, "failed");
+    clock.pass(REST_MS);
+  }
+  assert.ok(gate.load.failureShare > 0.5, `${gate.load.failureShare}`);
+  clock.pass(20_000);
+  assert.ok(gate.load.failureShare < 0.1, `${gate.load.failureShare}`);
+});
+
+test("a server that started again has failed nothing", () => {
+  const { gate, router } = createGate();
+  const ask = createAsk("a");
+  gate.ask(router, ask);
+  gate.finish(router, ask.ask, "failed");
+  gate.configure(createTerms({ startedAtMs: 2 }));
+  assert.equal(gate.load.failureShare, 0);
+});
+
 test("an engine that stops reading is told as slow", () => {
   const { clock, gate, router } = createGate();
   const ask = createAsk("a");
@@ -287,7 +309,7 @@
   gate.ask(router, late);
   gate.ask(router, timely);
   clock.pass(REST_MS);
-  gate.finish(router, blocker.ask);
+  gate.finish(router, blocker.ask, "served");
   assert.deepEqual(router.permits.slice(0, 2), [blocker.ask, timely.ask]);
 });
 
@@ -300,6 +322,6 @@
   const poor = createAsk("poor");
   gate.ask(router, rich);
   gate.ask(router, poor);
-  gate.finish(router, blocker.ask);
+  gate.finish(router, blocker.ask, "served");
   assert.deepEqual(router.permits.slice(0, 2), [blocker.ask, poor.ask]);
 });
--- a/tests/scheduling/placement_test.ts
+++ b/tests/scheduling/placement_test.ts
@@ -24,7 +24,13 @@
 /** A gate with some work before its engine. */
 function createGate(change: Partial<EngineReport> = {}): GateAccess {
   const work = { runs: 4, unreadTokens: 8_000, privateTokens: 0 };
-  const load = { asks: 0, askedTokens: 0, tokensPerMs: 40, routers: 1 };
+  const load = {
+    asks: 0,
+    askedTokens: 0,
+    tokensPerMs: 40,
+    failureShare: 0,
+    routers: 1,
+  };
   return {
     connected: true,
     report: { ...work, ...load, ...change },
@@ -167,12 +173,38 @@
 test("a plain server that fails its requests is avoided", () => {
   const good = createLoad("good", { availabilityZone: "b" });
   const grey = createLoad("grey");
-  for (let i = 0; i < 5; i += 1) grey.health.noteOutcome("failed");
+  for (let i = 0; i < 5; i += 1) grey.health.noteOutcome("failed", SITE.nowMs);
   assert.equal(choose(createDemand(), [grey, good], SITE)?.load.id, "good");
 });
 
+test("an engine that fails at other routers loses its heads", () => {
+  const ids = ["e1", "e2", "e3", "e4"];
+  const demand = createDemand({ prompt: createPrompt("head", "own") });
+  const place = (failing: ReadonlySet<string>) => {
+    const loads = ids.map((id) => {
+      const failureShare = failing.has(id) ? 0.9 : 0;
+      return createLoad(id, {}, { gate: createGate({ failureShare }) });
+    });
+    return choose(demand, loads, SITE)?.load.id ?? "";
+  };
+  const owner = place(new Set());
+  const second = place(new Set([owner]));
+  assert.notEqual(second, owner);
+  const third = place(new Set([owner, second]));
+  assert.ok(![owner, second].includes(third), "both owners fail");
+  // When most fail the fault is hardly theirs: heads stay where they are.
+  assert.equal(place(new Set(ids)), owner);
+});
+
+test("a server that got no requests is tried again", () => {
+  const grey = createLoad("grey");
+  for (let i = 0; i < 50; i += 1) grey.health.noteOutcome("failed", 1_000);
+  assert.ok(grey.failureShare(1_000) > 0.9);
+  assert.ok(grey.failureShare(20_000) < 0.1);
+});
+
 test("a server that is alone is used however often it failed", () => {
   const grey = createLoad("grey");
-  for (let i = 0; i < 50; i += 1) grey.health.noteOutcome("failed");
+  for (let i = 0; i < 50; i += 1) grey.health.noteOutcome("failed", SITE.nowMs);
   assert.equal(choose(createDemand(), [grey], SITE)?.load.id, "grey");
 });
