Look whether the caller has left before each send

The close was read in the same turn of the event loop as the permit, after it; and it was acted on only when the whole connection was closed, a turn later still.

Ruled out: a wait in the queue (half of the caller's time at most).

Change: one turn passes before a send; the end of the caller's side counts, and a connection that is destroyed though its close was not told yet.

--- a/src/direct/answer.ts
+++ b/src/direct/answer.ts
@@ -1,6 +1,7 @@
 /** The answer to one caller. */
 
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Socket } from "node:net";
 import { bodyOf, type Failure } from "../router/failure.ts";
 import type { AnswerHeaders, Dialect } from "./dialect.ts";
 
@@ -22,13 +23,20 @@
 /** Writes one answer; knows when its caller has gone. */
 export class Answer {
   readonly #response: ServerResponse;
+  readonly #socket: Socket;
   readonly #gone = new AbortController();
   #status: number | null = null;
 
   constructor(request: IncomingMessage, response: ServerResponse) {
     this.#response = response;
+    const { socket } = request;
+    this.#socket = socket;
+    const leave = () => this.#gone.abort();
+    // The end of the caller's side is read well before the whole is closed.
+    socket.once("end", leave);
     response.on("close", () => {
-      if (!response.writableFinished) this.#gone.abort();
+      socket.off("end", leave);
+      if (!response.writableFinished) leave();
     });
     if (response.destroyed || request.socket.destroyed) this.#gone.abort();
   }
@@ -38,6 +46,11 @@
     return this.#gone.signal;
   }
 
+  /** Whether the caller has gone, also when nobody was told of it yet. */
+  get left(): boolean {
+    return this.#gone.signal.aborted || this.#socket.destroyed;
+  }
+
   /** Status that the caller was given; null before it. */
   get status(): number | null {
     return this.#status;
--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -117,6 +117,11 @@
     this.#follow();
   }
 
+  /** Requests that wait for a server. */
+  get waiting(): number {
+    return this.#scheduler.waiting;
+  }
+
   /** Starts listening. Rejects when an address can't be bound. */
   async start(): Promise<void> {
     const { entry, ready, metrics, instance } = this.#settings;
@@ -171,7 +176,7 @@
   #registerMetrics(): void {
     const metrics = this.#metrics;
     metrics.gauge("oriole_open_requests", () => this.#entry.open);
-    metrics.gauge("oriole_waiting_requests", () => this.#scheduler.waiting);
+    metrics.gauge("oriole_waiting_requests", () => this.waiting);
     metrics.gauge("oriole_server_connections", () => this.#pool.opened);
     metrics.gauge("oriole_routers", () => this.#scheduler.routers);
     metrics.gauge("oriole_quarantined", () => this.#quarantine.size);
--- a/src/direct/exchange.ts
+++ b/src/direct/exchange.ts
@@ -1,6 +1,7 @@
 /** One caller's request, from its head to the end of its answer. */
 
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { setImmediate as nextTurn } from "node:timers/promises";
 import type { Clock } from "../common/clock.ts";
 import type { EventLog } from "../common/event_log.ts";
 import type { BackendServer } from "../directory/mod.ts";
@@ -204,12 +205,14 @@
     const { pool } = this.#parts;
     const { server } = placement;
     const lease = await pool.acquire(server);
+    // After a stall, that the caller left may be read in this very turn.
+    await nextTurn();
     if (lease.isErr()) {
       placement.end("unreachable");
       return this.#unreached(server, lease.error);
     }
     const { connection } = lease.value;
-    if (this.#stop.signal.aborted) {
+    if (this.#stop.signal.aborted || this.#answer.left) {
       pool.release(server, connection);
       placement.end("neutral");
       this.#stopped();
@@ -356,7 +359,7 @@
 
   /** The caller left, or the time is over. */
   #stopped(): void {
-    if (this.#answer.gone.aborted) {
+    if (this.#answer.left) {
       this.#end = "caller-left";
       return;
     }
--- a/tests/direct/exchange_test.ts
+++ b/tests/direct/exchange_test.ts
@@ -1,6 +1,7 @@
 /** What a caller gets for each thing that a backend server can do. */
 
 import assert from "node:assert/strict";
+import { connect } from "node:net";
 import { afterEach, test } from "node:test";
 import { request } from "undici";
 import type { Route } from "../../src/routing/mod.ts";
@@ -257,6 +258,37 @@
   await until("the run's connection is closed", TIMEOUT_MS, { holds });
 });
 
+test("nothing is sent on for a caller whose leaving is still unread", async () => {
+  await start({ scripts: [answerNever] });
+  const running = [call(), call()];
+  const holds = () => sum() === 2;
+  await until("both places are taken", TIMEOUT_MS, { holds });
+  const caller = connect(world.port, "127.0.0.1");
+  caller.write(
+    "GET /lookup/late HTTP/1.1\r\nHost: desk.example\r\n" +
+      "X-Attempt-Id: late\r\nX-Deadline-Ms: 3000\r\n\r\n",
+  );
+  const waits = () => world.router.waiting === 1;
+  await until("the third request waits", TIMEOUT_MS, { holds: waits });
+  // Both become known to the router in one turn of its event loop, the place
+  // that gets free first: as after a stall.
+  for (const request of world.servers[0]?.requests ?? []) answerWhole(request);
+  caller.destroy();
+  const stallEndsMs = performance.now() + 100;
+  while (performance.now() < stallEndsMs) {}
+  await Promise.all(running);
+  await until("the router has noticed", TIMEOUT_MS, {
+    holds: () => world.router.waiting === 0,
+  });
+  const [server] = world.servers;
+  if (server !== undefined) server.script = answerWhole;
+  await call();
+  assert.equal(
+    world.servers[0]?.requests.some(({ path }) => path === "/lookup/late"),
+    false,
+  );
+});
+
 const STREAM = { streaming: true, repetition: "resumable" } as const;
 
 test("a stream goes on elsewhere after its last whole event", async () => {
