--- /dev/null
+++ b/src/direct/explanation.ts
@@ -0,0 +1,93 @@
+/** Says what a router would do with a request, and why. */
+
+import type { BackendServer } from "../directory/mod.ts";
+import type { Route, RouteTable } from "../routing/mod.ts";
+import { ownersOf, type PromptPart } from "../scheduling/mod.ts";
+
+/** A request as an operator asks about it. */
+export interface RequestFacts {
+  readonly host: string;
+  readonly path: string;
+  readonly apiKey: string | null;
+  /** Parts of its prompt; none for a plain request. */
+  readonly parts: readonly PromptPart[];
+}
+
+/** Returns the decisions in their order, a line each. */
+export function explain(
+  table: RouteTable,
+  facts: RequestFacts,
+  servers: readonly BackendServer[],
+): string[] {
+  const route = table.find(facts.host, facts.path);
+  if (route === null) {
+    const sentence = `no route has a prefix of "${facts.path}"`;
+    return [`Version ${table.version}: ${sentence} at "${facts.host}": 404`];
+  }
+  return [
+    `Version ${table.version}: route "${route.name}" has the longest prefix, ` +
+      `"${route.pathPrefix}"`,
+    teamLine(table, route, facts),
+    limitsLine(route),
+    ...route.destinations.flatMap(({ service, weight }) => [
+      `Service "${service}" gets ${shareOf(route, weight)} of its requests`,
+      ...serverLines(table, service, { facts, servers }),
+    ]),
+  ];
+}
+
+function teamLine(
+  table: RouteTable,
+  { requiresKey }: Route,
+  { apiKey }: RequestFacts,
+): string {
+  const team = apiKey === null ? null : table.teamOf(apiKey);
+  if (team !== null) return `The key belongs to team "${team}"`;
+  if (!requiresKey) return "The route needs no key";
+  const shown = apiKey === null ? "No key is shown" : "No team has the key";
+  return `${shown}, and the route needs one: 401`;
+}
+
+function limitsLine({
+  repetition,
+  maxAttempts,
+  timeoutMs,
+  objectiveMs,
+}: Route): string {
+  const most =
+    repetition === "non-idempotent"
+      ? "It may run once"
+      : `It is ${repetition}: up to ${maxAttempts} servers`;
+  return `${most}, ${objectiveMs} ms to be on time, ${timeoutMs} ms in all`;
+}
+
+function shareOf({ destinations }: Route, weight: number): string {
+  const total = destinations.reduce((sum, one) => sum + one.weight, 0);
+  return `${Math.round((weight / total) * 100)}%`;
+}
+
+function serverLines(
+  table: RouteTable,
+  service: string,
+  known: {
+    readonly facts: RequestFacts;
+    readonly servers: readonly BackendServer[];
+  },
+): string[] {
+  const { facts } = known;
+  const servers = known.servers.filter((one) => one.service === service);
+  const ready = servers.filter(({ state }) => state === "ready");
+  const away = servers.length - ready.length;
+  const lines = [
+    `  ${ready.length} ready, ${away} draining: ` +
+      (ready.length === 0 ? "503 until one is ready" : "one of these"),
+  ];
+  if (table.service(service)?.engine && facts.parts.length > 1) {
+    const owners = ownersOf(facts.parts, ready).map(({ id }) => id);
+    return [
+      ...lines,
+      `  Its head is kept by ${owners.join(" and ")}: the one that is done sooner`,
+    ];
+  }
+  return [...lines, "  The one with the least to do, the nearest at a tie"];
+}
--- a/src/scheduling/demand.ts
+++ b/src/scheduling/demand.ts
@@ -45,7 +45,9 @@
 }
 
 /** Parts that other requests may share. */
-export function sharedParts({ parts }: Prompt): readonly PromptPart[] {
+export function sharedParts(
+  parts: readonly PromptPart[],
+): readonly PromptPart[] {
   return parts.slice(0, -1);
 }
 
--- a/src/scheduling/placement.ts
+++ b/src/scheduling/placement.ts
@@ -7,7 +7,7 @@
  */
 
 import type { BackendServer } from "../directory/mod.ts";
-import type { Demand, Prompt } from "./demand.ts";
+import type { Demand, Prompt, PromptPart } from "./demand.ts";
 import { privateTokensOf, sharedParts } from "./demand.ts";
 import * as engineRoom from "./engine_room.ts";
 import { rank } from "./rendezvous.ts";
@@ -117,7 +117,7 @@
   usable: readonly ServerLoad[],
   site: Site,
 ): Choice | null {
-  const owners = ownersOf(prompt, usable);
+  const owners = ownersOf(prompt.parts, usable);
   let best: Choice | null = null;
   let bestCost = Number.POSITIVE_INFINITY;
   for (const [order, load] of owners.entries()) {
@@ -147,12 +147,15 @@
   return best;
 }
 
-/** Engines at which the request's head may be read, the first choice first. */
-function ownersOf(
-  prompt: Prompt,
-  usable: readonly ServerLoad[],
-): readonly ServerLoad[] {
-  const deepest = sharedParts(prompt).at(-1);
+/**
+ * Returns the engines at which a prompt's head may be read, the first choice
+ * first; all of them for a prompt that shares nothing.
+ */
+export function ownersOf<T extends { readonly id: string }>(
+  parts: readonly PromptPart[],
+  usable: readonly T[],
+): readonly T[] {
+  const deepest = sharedParts(parts).at(-1);
   if (deepest === undefined) return usable;
   return rank(deepest.id, usable).slice(0, OWNERS);
 }
