--- a/src/admission/gate.ts
+++ b/src/admission/gate.ts
@@ -21,6 +21,7 @@
   SMALLEST_SAMPLE_TOKENS,
   type work,
 } from "../scheduling/mod.ts";
+import * as expectedWait from "./expected_wait.ts";
 import { TokenBudget } from "./token_budget.ts";
 
 /**
@@ -35,9 +36,19 @@
  */
 const SLACK_MS = 300;
 
+/**
+ * An ask is denied once its turn is expected after so many times its patience:
+ * others leave the line too, and what is read may turn out to be less.
+ */
+const HOPELESS_FACTOR = 1.5;
+/** Keeps the wait for an engine that has stopped finite. */
+const SLOWEST_TOKENS_PER_MS = 0.01;
+
 /** Where permits go. */
 export interface Router {
   permit(ask: number, uncachedTokens: number): void;
+  /** No permit will come in time; one could be expected after `waitMs`. */
+  deny(ask: number, waitMs: number): void;
 }
 
 interface Waiting {
@@ -122,9 +133,11 @@
     this.#waiting.set(ask.team, line);
     const index = line.findIndex((one) => one.objectiveAtMs > objectiveAtMs);
     const place = index === -1 ? line.length : index;
-    line.splice(place, 0, { router, ask, objectiveAtMs });
+    const waiting = { router, ask, objectiveAtMs };
+    line.splice(place, 0, waiting);
     this.#asks += 1;
     this.serve();
+    this.#denyHopeless(waiting);
   }
 
   /** Takes a request that runs already. */
@@ -208,6 +221,45 @@
     return next;
   }
 
+  /** Takes an ask out at once that would be given up before its turn. */
+  #denyHopeless(waiting: Waiting): void {
+    const { router, ask } = waiting;
+    const line = this.#waiting.get(ask.team) ?? [];
+    const place = line.indexOf(waiting);
+    if (place === -1) return;
+    const waitMs = this.#expectedWaitMs(line.slice(0, place), ask);
+    if (waitMs < ask.patienceMs * HOPELESS_FACTOR) return;
+    this.#removeWhere((one) => one === waiting);
+    router.deny(ask.ask, Math.round(waitMs));
+  }
+
+  #expectedWaitMs(ahead: readonly Waiting[], ask: Ask): number {
+    const own = this.#lineOf(ahead, ask);
+    const others: expectedWait.TeamLine[] = [];
+    for (const [team, line] of this.#waiting) {
+      const [first] = line;
+      if (team === ask.team || first === undefined) continue;
+      others.push(this.#lineOf(line, first.ask));
+    }
+    const { unreadTokens } = this.#work.work;
+    const tokens = unreadTokens + expectedWait.tokensBefore(own, others);
+    return tokens / Math.max(this.#presentRate, SLOWEST_TOKENS_PER_MS);
+  }
+
+  #lineOf(
+    line: readonly Waiting[],
+    { team, elsewhere }: Ask,
+  ): expectedWait.TeamLine {
+    const service = elsewhere + this.service.of(team);
+    let cost = 0;
+    let uncachedTokens = 0;
+    for (const { ask } of line) {
+      cost += ask.cost;
+      uncachedTokens += this.#uncached(ask);
+    }
+    return { service, cost, uncachedTokens };
+  }
+
   #hasRoom(ask: Ask): boolean {
     if (this.#terms === null) return false;
     if (!this.#budget.isOpen && !this.#isIdle(this.#terms)) return false;
--- a/src/protocol/field_numbers.ts
+++ b/src/protocol/field_numbers.ts
@@ -26,7 +26,15 @@
   ...["ask", "elsewhere", "cost", "parts", "outputTokens", "objectiveMs"],
   ...["leftMs", "begun", "uncachedTokens", "runs", "unreadTokens"],
   ...["privateTokens", "asks", "askedTokens", "tokensPerMs", "routers"],
-  ...["cacheTokens", "server", "startedAtMs", "copiedTokens", "failureShare"],
+  ...[
+    "cacheTokens",
+    "server",
+    "startedAtMs",
+    "copiedTokens",
+    "failureShare",
+    "patienceMs",
+    "waitMs",
+  ],
 ] as const;
 
 /** Field names with their numbers. */
--- a/src/protocol/message.ts
+++ b/src/protocol/message.ts
@@ -3,6 +3,7 @@
 import type {
   Ask,
   Begun,
+  Denied,
   EngineTerms,
   Finished,
   Held,
@@ -95,4 +96,5 @@
   | Begun
   | Finished
   | Permit
+  | Denied
   | ServerReport;
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -56,6 +56,8 @@
 const DEFAULT_TOKENS_PER_MS = 10;
 /** Routers among which servers are shared while the others aren't known. */
 const ASSUMED_ROUTERS = 4;
+/** Engines whose denial is enough to refuse a request: a head's owners. */
+const ENGINES_ASKED = 2;
 /** Part of its objective after which a request may ask another engine. */
 const ASK_AGAIN_SHARE = 0.2;
 
@@ -186,7 +188,7 @@
     loads: readonly ServerLoad[],
     site: Site,
   ): boolean {
-    const choice = choose(pending.demand, loads, site);
+    const choice = this.#choose(pending, loads, site);
     if (choice === null) return false;
     const { gate } = choice.load;
     if (gate?.connected === true) this.#ask(pending, choice, gate);
@@ -203,18 +205,43 @@
       ...{ demand, prompt: demand.prompt, copiedTokens: choice.copiedTokens },
       elsewhere: this.#serviceElsewhere(demand, load),
       leftMs: demand.objectiveAtMs - nowMs,
+      patienceMs: Math.max(0, pending.holdUntilMs - nowMs),
     };
     const withdraw = gate.ask(question, {
       permitted: (permit) => {
         const { uncachedTokens } = permit;
         this.#send(pending, { ...choice, uncachedTokens }, permit);
       },
+      denied: (waitMs) => this.#noteDenied(pending, load, waitMs),
       lost: () => this.#returnToLine(pending),
     });
     const server = load.id;
     pending.stand = { type: "asked", server, sinceMs: nowMs, withdraw };
   }
 
+  #choose(
+    { demand, denied }: Request,
+    loads: readonly ServerLoad[],
+    site: Site,
+  ): Choice | null {
+    if (denied.size === 0) return choose(demand, loads, site);
+    const excluded = new Set([...demand.excluded, ...denied]);
+    return choose({ ...demand, excluded }, loads, site);
+  }
+
+  /** Asks the other engine of its head; refuses when that denies it too. */
+  #noteDenied(pending: Request, load: ServerLoad, waitMs: number): void {
+    if (pending.stand.type !== "asked") return;
+    pending.denied.add(load.id);
+    pending.stand = { type: "line" };
+    if (pending.denied.size < ENGINES_ASKED) {
+      this.#line(pending.demand.service).add(pending);
+      this.#serve(pending.demand.service);
+      return;
+    }
+    this.#refuse(pending, waitMs);
+  }
+
   #send(
     pending: Request,
     { load, uncachedTokens, source }: Choice,
@@ -314,8 +341,8 @@
     if (this.#pending.size === 0) this.close();
   }
 
-  #refuse(pending: Request): void {
-    const retryAfterMs = refusal.returnAfterMs(pending.demand);
+  #refuse(pending: Request, waitMs = 0): void {
+    const retryAfterMs = refusal.returnAfterMs(pending.demand, waitMs);
     this.#settle(pending, { type: "refused", reason: "no-room", retryAfterMs });
   }
 
@@ -325,7 +352,8 @@
     if (stand.type !== "asked") return;
     const waitedMs = nowMs - stand.sinceMs;
     if (waitedMs < demand.objectiveMs * ASK_AGAIN_SHARE) return;
-    const choice = choose(demand, this.#loadsOf(demand.service), this.#site);
+    const loads = this.#loadsOf(demand.service);
+    const choice = this.#choose(pending, loads, this.#site);
     if (choice !== null && choice.load.id !== stand.server) {
       this.#returnToLine(pending);
     } else {
