--- a/src/direct/settings.ts
+++ b/src/direct/settings.ts
@@ -24,6 +24,8 @@
   readonly revocationMs: number;
   /** Milliseconds in which a lost answer of the registry must be noticed. */
   readonly noticeMs: number;
+  /** Milliseconds in which a server that drains must get no more requests. */
+  readonly drainMs: number;
   readonly retries: {
     /** Repeats for each request. */
     readonly ratio: number;
@@ -43,8 +45,8 @@
   type: "object",
   required: [
     ...["instance", "availabilityZone", "entry", "ready", "registry"],
-    ...["gatePort", "fleetKey", "graceSeconds", "revocationMs", "noticeMs"],
-    "retries",
+    ...["gatePort", "fleetKey", "graceSeconds", "revocationMs"],
+    ...["noticeMs", "drainMs", "retries"],
   ],
   properties: {
     instance: text,
@@ -58,6 +60,7 @@
     graceSeconds: amount,
     revocationMs: amount,
     noticeMs: amount,
+    drainMs: amount,
     retries: {
       type: "object",
       required: ["ratio", "windowSeconds", "slack"],
