--- a/src/admission/gate.ts
+++ b/src/admission/gate.ts
@@ -21,7 +21,6 @@
   SMALLEST_SAMPLE_TOKENS,
   type work,
 } from "../scheduling/mod.ts";
-import * as expectedWait from "./expected_wait.ts";
 import { TokenBudget } from "./token_budget.ts";
 
 /**
@@ -36,19 +35,9 @@
  */
 const SLACK_MS = 300;
 
-/**
- * An ask is denied once its turn is expected after so many times its patience:
- * others leave the line too, and what is read may turn out to be less.
- */
-const HOPELESS_FACTOR = 2.5;
-/** Keeps the wait for an engine that has stopped finite. */
-const SLOWEST_TOKENS_PER_MS = 0.01;
-
 /** Where permits go. */
 export interface Router {
   permit(ask: number, uncachedTokens: number): void;
-  /** No permit will come in time; one could be expected after `waitMs`. */
-  deny(ask: number, waitMs: number): void;
 }
 
 interface Waiting {
@@ -133,11 +122,9 @@
     this.#waiting.set(ask.team, line);
     const index = line.findIndex((one) => one.objectiveAtMs > objectiveAtMs);
     const place = index === -1 ? line.length : index;
-    const waiting = { router, ask, objectiveAtMs };
-    line.splice(place, 0, waiting);
+    line.splice(place, 0, { router, ask, objectiveAtMs });
     this.#asks += 1;
     this.serve();
-    this.#denyHopeless(waiting);
   }
 
   /** Takes a request that runs already. */
@@ -221,50 +208,6 @@
     return next;
   }
 
-  /** Takes an ask out at once that would be given up before its turn. */
-  #denyHopeless(waiting: Waiting): void {
-    const { router, ask } = waiting;
-    const line = this.#waiting.get(ask.team) ?? [];
-    const place = line.indexOf(waiting);
-    if (place === -1) return;
-    const waitMs = this.#expectedWaitMs(line.slice(0, place), ask);
-    if (waitMs < ask.patienceMs * HOPELESS_FACTOR) return;
-    this.#removeWhere((one) => one === waiting);
-    router.deny(ask.ask, Math.round(waitMs));
-  }
-
-  #expectedWaitMs(ahead: readonly Waiting[], ask: Ask): number {
-    const counted = new Set<string>();
-    const own = this.#lineOf(ahead, { ask, counted });
-    const others: expectedWait.TeamLine[] = [];
-    for (const [team, line] of this.#waiting) {
-      const [first] = line;
-      if (team === ask.team || first === undefined) continue;
-      others.push(this.#lineOf(line, { ask: first.ask, counted }));
-    }
-    const { unreadTokens } = this.#work.work;
-    const tokens = unreadTokens + expectedWait.tokensBefore(own, others);
-    return tokens / Math.max(this.#presentRate, SLOWEST_TOKENS_PER_MS);
-  }
-
-  #lineOf(
-    line: readonly Waiting[],
-    { ask, counted }: { readonly ask: Ask; readonly counted: Set<string> },
-  ): expectedWait.TeamLine {
-    const service = ask.elsewhere + this.service.of(ask.team);
-    let cost = 0;
-    let tokens = 0;
-    for (const { ask } of line) {
-      cost += ask.cost;
-      // A head that several wait for is read once.
-      const anew = ask.parts.filter(([id]) => !counted.has(id));
-      const uncachedTokens = this.#uncached(ask);
-      tokens += Math.min(uncachedTokens, tokensOf(anew));
-      for (const [id] of ask.parts) counted.add(id);
-    }
-    return { service, cost, uncachedTokens: tokens };
-  }
-
   #hasRoom(ask: Ask): boolean {
     if (this.#terms === null) return false;
     if (!this.#budget.isOpen && !this.#isIdle(this.#terms)) return false;
@@ -312,7 +255,7 @@
   }
 
   #uncached({ parts, copiedTokens }: Ask): number {
-    const total = tokensOf(parts);
+    const total = parts.reduce((sum, [, tokens]) => sum + tokens, 0);
     const cachedTokens = this.#memory.cachedTokens(partsOf(parts));
     return total - Math.max(cachedTokens, copiedTokens);
   }
@@ -350,10 +293,6 @@
   return { parts: parts.map(([id, tokens]) => ({ id, tokens })) };
 }
 
-function tokensOf(parts: Ask["parts"]): number {
-  return parts.reduce((sum, [, tokens]) => sum + tokens, 0);
-}
-
 function ownTokens(parts: Ask["parts"]): number {
   return parts.at(-1)?.[1] ?? 0;
 }
--- a/src/admission/router_session.ts
+++ b/src/admission/router_session.ts
@@ -33,11 +33,6 @@
     this.#connection.send({ type: "permit", ask, uncachedTokens });
   }
 
-  /** Tells the router that no permit will come in time. */
-  deny(ask: number, waitMs: number): void {
-    this.#connection.send({ type: "denied", ask, waitMs });
-  }
-
   /** Tells the router what the engine has to do. */
   report(report: ServerReport): void {
     this.#connection.send(report);
--- a/src/direct/gate_link.ts
+++ b/src/direct/gate_link.ts
@@ -4,7 +4,6 @@
 import type { EventLog } from "../common/event_log.ts";
 import { RecentService } from "../fairness/mod.ts";
 import type {
-  Denied,
   EngineTerms,
   Held,
   Message,
@@ -115,8 +114,7 @@
   ask(question: Question, reply: Reply): () => void {
     this.#lastAsk += 1;
     const ask = this.#lastAsk;
-    const { demand, prompt, copiedTokens, elsewhere } = question;
-    const { leftMs, patienceMs } = question;
+    const { demand, prompt, copiedTokens, elsewhere, leftMs } = question;
     this.#asked.set(ask, { question, reply });
     this.#askedSinceReportTokens += prompt.parts.at(-1)?.tokens ?? 0;
     this.#connection?.send({
@@ -127,7 +125,6 @@
       outputTokens: prompt.outputTokens,
       objectiveMs: demand.objectiveMs,
       leftMs,
-      patienceMs,
     });
     return () => {
       if (!this.#asked.delete(ask)) return;
@@ -163,9 +160,6 @@
       case "permit":
         this.#permitted(message);
         return;
-      case "denied":
-        this.#denied(message);
-        return;
       case "server-report":
         this.#report = message;
         this.#askedSinceReportTokens = 0;
@@ -184,12 +178,6 @@
     }
   }
 
-  #denied({ ask, waitMs }: Denied): void {
-    const asked = this.#asked.get(ask);
-    this.#asked.delete(ask);
-    asked?.reply.denied(waitMs);
-  }
-
   #permitted({ ask, uncachedTokens }: PermitMessage): void {
     const asked = this.#asked.get(ask);
     if (asked === undefined) {
--- a/src/protocol/admission_messages.ts
+++ b/src/protocol/admission_messages.ts
@@ -36,16 +36,6 @@
   readonly objectiveMs: number;
   /** Time until the caller counts on its first event; below 0 once late. */
   readonly leftMs: number;
-  /** Time for which the router waits for a permit. */
-  readonly patienceMs: number;
-}
-
-/** Says that no permit will come in time. */
-export interface Denied {
-  readonly type: "denied";
-  readonly ask: number;
-  /** Time after which a permit could be expected. */
-  readonly waitMs: number;
 }
 
 /** A request that was sent before the connection was opened. */
--- a/src/protocol/field_numbers.ts
+++ b/src/protocol/field_numbers.ts
@@ -26,15 +26,7 @@
   ...["ask", "elsewhere", "cost", "parts", "outputTokens", "objectiveMs"],
   ...["leftMs", "begun", "uncachedTokens", "runs", "unreadTokens"],
   ...["privateTokens", "asks", "askedTokens", "tokensPerMs", "routers"],
-  ...[
-    "cacheTokens",
-    "server",
-    "startedAtMs",
-    "copiedTokens",
-    "failureShare",
-    "patienceMs",
-    "waitMs",
-  ],
+  ...["cacheTokens", "server", "startedAtMs", "copiedTokens", "failureShare"],
 ] as const;
 
 /** Field names with their numbers. */
--- a/src/protocol/message.ts
+++ b/src/protocol/message.ts
@@ -3,7 +3,6 @@
 import type {
   Ask,
   Begun,
-  Denied,
   EngineTerms,
   Finished,
   Held,
@@ -96,5 +95,4 @@
   | Begun
   | Finished
   | Permit
-  | Denied
   | ServerReport;
--- a/src/scheduling/gate_access.ts
+++ b/src/scheduling/gate_access.ts
@@ -33,15 +33,11 @@
   /** Recent service of its team at other engines. */
   readonly elsewhere: number;
   readonly leftMs: number;
-  /** Time for which it is worth waiting. */
-  readonly patienceMs: number;
 }
 
 /** An answer to a question; one of them is called once. */
 export interface Reply {
   permitted(permit: Permit): void;
-  /** No permit will come in time; one could be expected after `waitMs`. */
-  denied(waitMs: number): void;
   /** The authority can't be reached any more. */
   lost(): void;
 }
--- a/src/scheduling/pending.ts
+++ b/src/scheduling/pending.ts
@@ -22,8 +22,6 @@
   readonly holdUntilMs: number;
   readonly #settle: (decision: D) => void;
   stand: Stand = { type: "line" };
-  /** Servers whose authority has denied it. */
-  readonly denied = new Set<string>();
 
   constructor(
     demand: Demand,
--- a/src/scheduling/placement.ts
+++ b/src/scheduling/placement.ts
@@ -58,8 +58,6 @@
   readonly nowMs: number;
   /** Share of each server that this router may use, 0 to 1. */
   readonly share: number;
-  /** Servers whose authority has denied the request. */
-  readonly denied: ReadonlySet<string>;
 }
 
 /** Returns the best server with room; null when there is none. */
@@ -132,7 +130,7 @@
     const isOpen =
       load.gate?.connected === true ||
       hasRoom(load, demand, { uncachedTokens, site });
-    if (!isOpen || site.denied.has(load.id)) continue;
+    if (!isOpen) continue;
     const { tokens, runs, tokensPerMs } = aheadAt(load, site.share);
     const weighedTokens =
       tokens +
--- a/src/scheduling/refusal.ts
+++ b/src/scheduling/refusal.ts
@@ -23,8 +23,6 @@
 const HOLD_SHARE = 0.6;
 /** Part of its objective after which a refused caller comes back. */
 const RETURN_SHARE = 0.3;
-/** Part of its objective beyond which an answer would hardly be on time. */
-const LATEST_RETURN_SHARE = 0.5;
 /** Spread of callers that come back, as a part of their wait. */
 const RETURN_SPREAD = 0.5;
 /** Wait of a caller whose service has no server. */
@@ -51,15 +49,9 @@
   return { holdMs, reason: "no-room", retryAfterMs };
 }
 
-/**
- * Milliseconds after which a refused caller should come back.
- *
- * @param waitMs time after which its turn could have come
- */
-export function returnAfterMs({ objectiveMs }: Demand, waitMs = 0): number {
-  const soonestMs = objectiveMs * RETURN_SHARE;
-  const latestMs = objectiveMs * LATEST_RETURN_SHARE;
-  return spread(Math.min(latestMs, Math.max(soonestMs, waitMs / 2)));
+/** Milliseconds after which a refused caller should come back. */
+export function returnAfterMs({ objectiveMs }: Demand): number {
+  return spread(objectiveMs * RETURN_SHARE);
 }
 
 /** Keeps callers that were refused together from coming back together. */
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -169,8 +169,7 @@
   get #site(): Site {
     const { availabilityZone } = this.#options;
     const share = 1 / this.routers;
-    const denied: ReadonlySet<string> = new Set();
-    return { availabilityZone, nowMs: this.#nowMs, share, denied };
+    return { availabilityZone, nowMs: this.#nowMs, share };
   }
 
   #serve(service: string): void {
@@ -187,7 +186,7 @@
     loads: readonly ServerLoad[],
     site: Site,
   ): boolean {
-    const choice = this.#choose(pending, loads, site);
+    const choice = choose(pending.demand, loads, site);
     if (choice === null) return false;
     const { gate } = choice.load;
     if (gate?.connected === true) this.#ask(pending, choice, gate);
@@ -204,42 +203,18 @@
       ...{ demand, prompt: demand.prompt, copiedTokens: choice.copiedTokens },
       elsewhere: this.#serviceElsewhere(demand, load),
       leftMs: demand.objectiveAtMs - nowMs,
-      patienceMs: Math.max(0, pending.holdUntilMs - nowMs),
     };
     const withdraw = gate.ask(question, {
       permitted: (permit) => {
         const { uncachedTokens } = permit;
         this.#send(pending, { ...choice, uncachedTokens }, permit);
       },
-      denied: (waitMs) => this.#noteDenied(pending, load, waitMs),
       lost: () => this.#returnToLine(pending),
     });
     const server = load.id;
     pending.stand = { type: "asked", server, sinceMs: nowMs, withdraw };
   }
 
-  #choose(
-    { demand, denied }: Request,
-    loads: readonly ServerLoad[],
-    site: Site,
-  ): Choice | null {
-    return choose(demand, loads, { ...site, denied });
-  }
-
-  /** Asks the other engine of its head; refuses when that denies it too. */
-  #noteDenied(pending: Request, load: ServerLoad, waitMs: number): void {
-    if (pending.stand.type !== "asked") return;
-    pending.denied.add(load.id);
-    pending.stand = { type: "line" };
-    const loads = this.#loadsOf(pending.demand.service);
-    if (this.#choose(pending, loads, this.#site) !== null) {
-      this.#line(pending.demand.service).add(pending);
-      this.#serve(pending.demand.service);
-      return;
-    }
-    this.#refuse(pending, waitMs);
-  }
-
   #send(
     pending: Request,
     { load, uncachedTokens, source }: Choice,
@@ -339,8 +314,8 @@
     if (this.#pending.size === 0) this.close();
   }
 
-  #refuse(pending: Request, waitMs = 0): void {
-    const retryAfterMs = refusal.returnAfterMs(pending.demand, waitMs);
+  #refuse(pending: Request): void {
+    const retryAfterMs = refusal.returnAfterMs(pending.demand);
     this.#settle(pending, { type: "refused", reason: "no-room", retryAfterMs });
   }
 
@@ -350,8 +325,7 @@
     if (stand.type !== "asked") return;
     const waitedMs = nowMs - stand.sinceMs;
     if (waitedMs < demand.objectiveMs * ASK_AGAIN_SHARE) return;
-    const loads = this.#loadsOf(demand.service);
-    const choice = this.#choose(pending, loads, this.#site);
+    const choice = choose(demand, this.#loadsOf(demand.service), this.#site);
     if (choice !== null && choice.load.id !== stand.server) {
       this.#returnToLine(pending);
     } else {
