--- a/src/admission/admission_process.ts
+++ b/src/admission/admission_process.ts
@@ -12,6 +12,7 @@
   Listener,
   Traffic,
 } from "../transport/mod.ts";
+import type { EngineState } from "./engine_state.ts";
 import { Gate } from "./gate.ts";
 import { ReportPace } from "./report_pace.ts";
 import { RouterSession } from "./router_session.ts";
@@ -35,6 +36,7 @@
   readonly #reported = new Map<string, number>();
   readonly #pace = new ReportPace(systemClock);
   #lastReport = "";
+  #engineState: EngineState = "well";
   #timer: NodeJS.Timeout | null = null;
   #serveTimer: NodeJS.Timeout | null = null;
 
@@ -83,6 +85,7 @@
     if (this.#serveTimer !== null) clearInterval(this.#serveTimer);
     this.#events.info("stop", { routers: this.#sessions.size });
     await this.#listener.close();
+    this.#events.info("stopped", { asks: this.#gate.load.asks });
   }
 
   async #serve(connection: Connection): Promise<void> {
@@ -109,10 +112,23 @@
   }
 
   #reportWhenDue(): void {
+    this.#noteEngine();
     const routers = this.#sessions.size;
     if (routers > 0 && this.#pace.takeDue({ routers })) this.#report();
   }
 
+  /** Tells when the engine turns slow or failing, and when that is past. */
+  #noteEngine(): void {
+    const state = this.#gate.engineState;
+    const before = this.#engineState;
+    if (state === before) return;
+    this.#engineState = state;
+    const { runs, unreadTokens, asks, ...rest } = this.#gate.load;
+    const { tokensPerMs, failureShare } = rest;
+    const signs = { runs, unreadTokens, asks, tokensPerMs, failureShare };
+    this.#events.info("engine", { state, before, ...signs });
+  }
+
   #report(): void {
     const teams = this.#changedTeams();
     const report = this.#compose(teams);
--- a/src/admission/gate.ts
+++ b/src/admission/gate.ts
@@ -21,6 +21,7 @@
   SMALLEST_SAMPLE_TOKENS,
   type work,
 } from "../scheduling/mod.ts";
+import { type EngineState, stateOf } from "./engine_state.ts";
 import { TokenBudget } from "./token_budget.ts";
 
 /**
@@ -91,6 +92,15 @@
     return { ...this.#work.work, ...asked, tokensPerMs, failureShare };
   }
 
+  /** How the engine does, as far as requests tell. */
+  get engineState(): EngineState {
+    return stateOf({
+      failureShare: this.#health.failureShare(this.#clock.monotonicMs()),
+      usualTokensPerMs: this.#rate.tokensPerMs,
+      presentTokensPerMs: this.#presentRate,
+    });
+  }
+
   /** Takes what a router knows of the engine; older news is ignored. */
   configure(terms: EngineTerms): void {
     const before = this.#terms;
--- a/src/direct/exchange.ts
+++ b/src/direct/exchange.ts
@@ -78,6 +78,10 @@
   #splitter: EventSplitter | null = null;
   readonly #facts: Facts = { id: "", team: null, route: null };
   #server: string | null = null;
+  /** Tokens that the last server was expected to read. */
+  #uncachedTokens: number | null = null;
+  /** Server that the last one could copy from. */
+  #source: string | null = null;
   #sends = 0;
   #unreachable = 0;
   #mayHaveRun = false;
@@ -152,6 +156,8 @@
     const waitedMs = this.#parts.clock.monotonicMs() - this.#arrivedMs;
     this.#waitedMs = Math.round(waitedMs);
     this.#server = decision.server.id;
+    this.#uncachedTokens = decision.uncachedTokens;
+    this.#source = decision.source?.id ?? null;
     return await this.#send(admitted, decision);
   }
 
@@ -394,6 +400,7 @@
       request: this.#facts.id,
       ...{ team: this.#facts.team, route: this.#facts.route },
       ...{ server: this.#server, sends: this.#sends, end: this.#end },
+      ...{ uncached: this.#uncachedTokens, source: this.#source },
       status: this.#answer.status,
       waitedMs: this.#waitedMs,
       firstByteMs: this.#firstByteMs,
