--- a/src/direct/exchange.ts
+++ b/src/direct/exchange.ts
@@ -26,7 +26,6 @@
   admit,
   ELSEWHERE_RETRY_MS,
   elsewhere,
-  type Facts,
 } from "./admit.ts";
 import { Answer } from "./answer.ts";
 import type { Beliefs } from "./beliefs.ts";
@@ -35,6 +34,7 @@
 import type { Dialect } from "./dialect.ts";
 import { EventSplitter } from "./event_splitter.ts";
 import { Relay, type SendEnd } from "./relay.ts";
+import { RequestRecord } from "./request_record.ts";
 import type { RetryAllowance } from "./retry_allowance.ts";
 import type { UsualWait } from "./usual_wait.ts";
 
@@ -73,21 +73,11 @@
   readonly #request: IncomingMessage;
   readonly #answer: Answer;
   readonly #stop = new AbortController();
-  readonly #arrivedMs: number;
   readonly #tried = new Set<string>();
   #splitter: EventSplitter | null = null;
-  readonly #facts: Facts = { id: "", team: null, route: null };
-  #server: string | null = null;
-  /** Tokens that the last server was expected to read. */
-  #uncachedTokens: number | null = null;
-  /** Server that the last one could copy from. */
-  #source: string | null = null;
-  #sends = 0;
+  readonly #record: RequestRecord;
   #unreachable = 0;
   #mayHaveRun = false;
-  #waitedMs = 0;
-  #firstByteMs: number | null = null;
-  #end = "unknown";
 
   constructor(
     parts: ExchangeParts,
@@ -97,7 +87,7 @@
     this.#parts = parts;
     this.#request = request;
     this.#answer = new Answer(request, response);
-    this.#arrivedMs = parts.clock.monotonicMs();
+    this.#record = new RequestRecord(parts);
   }
 
   /** The answer, to ask its caller for a new connection. */
@@ -108,20 +98,20 @@
   /** Answers the request. */
   async run(): Promise<void> {
     const admitted = await admit(this.#parts, this.#request, {
-      arrivedMs: this.#arrivedMs,
-      facts: this.#facts,
+      arrivedMs: this.#record.arrivedMs,
+      facts: this.#record.facts,
     });
     if (admitted.isErr()) this.#fail(admitted.error);
     else await this.#serve(admitted.value);
-    this.#report();
+    this.#record.write(this.#answer.status);
   }
 
   /** Sends the caller to another router; nothing has run. */
   refuse(code: string): void {
     const terms = this.#parts.dialect.readRequest(this.#request.headers);
-    if (terms.isOk()) this.#facts.id = terms.value.id ?? "";
+    if (terms.isOk()) this.#record.facts.id = terms.value.id ?? "";
     this.#fail(elsewhere(code));
-    this.#report();
+    this.#record.write(this.#answer.status);
   }
 
   async #serve(admitted: Admitted): Promise<void> {
@@ -153,11 +143,7 @@
     const demand = this.#demand(admitted);
     const decision = await scheduler.place(demand, this.#stop.signal);
     if (decision.type !== "placed") return this.#unplaced(decision);
-    const waitedMs = this.#parts.clock.monotonicMs() - this.#arrivedMs;
-    this.#waitedMs = Math.round(waitedMs);
-    this.#server = decision.server.id;
-    this.#uncachedTokens = decision.uncachedTokens;
-    this.#source = decision.source?.id ?? null;
+    this.#record.notePlaced(decision);
     return await this.#send(admitted, decision);
   }
 
@@ -175,7 +161,7 @@
   #demand(admitted: Admitted): Demand {
     const { route, team, service, terms } = admitted;
     return {
-      requestId: this.#facts.id,
+      requestId: this.#record.facts.id,
       team: team ?? "",
       service,
       priority: route.priority,
@@ -252,16 +238,14 @@
   }
 
   #noteSend({ service }: Admitted, server: string): void {
-    this.#sends += 1;
-    if (this.#sends > 1) this.#parts.retries.noteRetry(service);
+    this.#record.noteSend();
+    if (this.#record.sends > 1) this.#parts.retries.noteRetry(service);
     this.#tried.add(server);
   }
 
   #noteFirstByte(placement: Placement): void {
     placement.read();
-    this.#firstByteMs ??= Math.round(
-      this.#parts.clock.monotonicMs() - this.#arrivedMs,
-    );
+    this.#record.noteFirstByte();
   }
 
   #backendRequest(
@@ -282,7 +266,7 @@
 
   #unreached(server: BackendServer, reason: string): Step {
     const { events, crashes } = this.#parts;
-    const what = { request: this.#facts.id, server: server.id, reason };
+    const what = { request: this.#record.facts.id, server: server.id, reason };
     events.warn("server-unreachable", what);
     const strike = crashes.noteUnreachable(server);
     if (strike !== null) this.#parts.struck(strike);
@@ -302,7 +286,7 @@
   #judge(admitted: Admitted, end: SendEnd): Step {
     switch (end.type) {
       case "complete":
-        this.#end = "served";
+        this.#record.end = "served";
         return DONE;
       case "aborted":
         this.#mayHaveRun = true;
@@ -322,8 +306,11 @@
   }
 
   #judgeNotRun(admitted: Admitted, status: number): Step {
-    if (this.#sends < admitted.route.maxAttempts && this.#mayRetry(admitted)) {
-      this.#noteRetryDecision("not-run", status);
+    if (
+      this.#record.sends < admitted.route.maxAttempts &&
+      this.#mayRetry(admitted)
+    ) {
+      this.#record.writeRetry("not-run", status);
       return AGAIN;
     }
     if (this.#mayHaveRun || this.#answer.begun) {
@@ -339,7 +326,7 @@
   #repeat(admitted: Admitted, reason: string): Step {
     this.#splitter?.drop();
     if (this.#canRepeat(admitted) && this.#mayRetry(admitted)) {
-      this.#noteRetryDecision(reason, 0);
+      this.#record.writeRetry(reason, 0);
       return AGAIN;
     }
     this.#fail(outcomeUnknown("broken-answer", reason));
@@ -348,7 +335,7 @@
 
   #canRepeat({ route }: Admitted): boolean {
     const { repetition, maxAttempts } = route;
-    return repetition !== "non-idempotent" && this.#sends < maxAttempts;
+    return repetition !== "non-idempotent" && this.#record.sends < maxAttempts;
   }
 
   #mayRetry({ service }: Admitted): boolean {
@@ -356,17 +343,10 @@
     return this.#parts.retries.mayRetry(service);
   }
 
-  #noteRetryDecision(reason: string, status: number): void {
-    this.#parts.events.info("retry", {
-      ...{ request: this.#facts.id, server: this.#server, sends: this.#sends },
-      ...{ reason, status },
-    });
-  }
-
   /** The caller left, or the time is over. */
   #stopped(): void {
     if (this.#answer.left) {
-      this.#end = "caller-left";
+      this.#record.end = "caller-left";
       return;
     }
     if (this.#mayHaveRun || this.#answer.begun) {
@@ -379,36 +359,9 @@
   }
 
   #fail(failure: Failure): void {
-    this.#end = failure.code;
+    this.#record.end = failure.code;
     this.#answer.fail(failure, this.#parts.dialect);
   }
-
-  #report(): void {
-    const { clock, events, beliefs, metrics } = this.#parts;
-    const tookMs = clock.monotonicMs() - this.#arrivedMs;
-    const status = String(this.#answer.status ?? 0);
-    metrics.count("oriole_requests_total", { status, end: this.#end });
-    metrics.observe("oriole_request_seconds", tookMs);
-    metrics.observe("oriole_wait_seconds", this.#waitedMs);
-    if (this.#firstByteMs !== null) {
-      metrics.observe("oriole_first_byte_seconds", this.#firstByteMs);
-    }
-    if (this.#sends > 1) {
-      metrics.count("oriole_retries_total", {}, this.#sends - 1);
-    }
-    events.info("request", {
-      request: this.#facts.id,
-      ...{ team: this.#facts.team, route: this.#facts.route },
-      ...{ server: this.#server, sends: this.#sends, end: this.#end },
-      ...{ uncached: this.#uncachedTokens, source: this.#source },
-      status: this.#answer.status,
-      waitedMs: this.#waitedMs,
-      firstByteMs: this.#firstByteMs,
-      tookMs: Math.round(tookMs),
-      configuration: beliefs.table?.version ?? 0,
-      configurationAgeMs: Math.round(beliefs.ageMs),
-    });
-  }
 }
 
 function outcomeOf(end: SendEnd): Outcome {
