--- a/src/admission/gate.ts
+++ b/src/admission/gate.ts
@@ -21,6 +21,7 @@
   SMALLEST_SAMPLE_TOKENS,
   type work,
 } from "../scheduling/mod.ts";
+import { AskLines, type Router } from "./ask_lines.ts";
 import { type EngineState, stateOf } from "./engine_state.ts";
 import { TokenBudget } from "./token_budget.ts";
 
@@ -36,18 +37,6 @@
  */
 const SLACK_MS = 300;
 
-/** Where permits go. */
-export interface Router {
-  permit(ask: number, uncachedTokens: number): void;
-}
-
-interface Waiting {
-  readonly router: Router;
-  readonly ask: Ask;
-  /** Monotonic time by which its caller counts on its first event. */
-  readonly objectiveAtMs: number;
-}
-
 /** What the gate has to do. */
 export interface GateLoad extends work.Work {
   readonly asks: number;
@@ -62,7 +51,7 @@
   /** Service of each team at this engine. */
   readonly service: RecentService;
   readonly #clock: Clock;
-  readonly #waiting = new Map<string, Waiting[]>();
+  readonly #lines = new AskLines();
   readonly #running = new Map<Router, Map<number, Run>>();
   #terms: EngineTerms | null = null;
   #memory = new PromptMemory(0);
@@ -72,7 +61,6 @@
   readonly #work = new RunningWork();
   #health = new ServerHealth();
   readonly #budget: TokenBudget;
-  #asks = 0;
 
   constructor(clock: Clock) {
     this.#clock = clock;
@@ -84,11 +72,9 @@
   get load(): GateLoad {
     const tokensPerMs = this.#presentRate;
     let askedTokens = 0;
-    for (const line of this.#waiting.values()) {
-      for (const { ask } of line) askedTokens += this.#uncached(ask);
-    }
+    for (const { ask } of this.#lines) askedTokens += this.#uncached(ask);
     const failureShare = this.#health.failureShare(this.#clock.monotonicMs());
-    const asked = { asks: this.#asks, askedTokens };
+    const asked = { asks: this.#lines.size, askedTokens };
     return { ...this.#work.work, ...asked, tokensPerMs, failureShare };
   }
 
@@ -128,12 +114,7 @@
   /** Takes a request that wants to run. */
   ask(router: Router, ask: Ask): void {
     const objectiveAtMs = this.#clock.monotonicMs() + ask.leftMs;
-    const line = this.#waiting.get(ask.team) ?? [];
-    this.#waiting.set(ask.team, line);
-    const index = line.findIndex((one) => one.objectiveAtMs > objectiveAtMs);
-    const place = index === -1 ? line.length : index;
-    line.splice(place, 0, { router, ask, objectiveAtMs });
-    this.#asks += 1;
+    this.#lines.add({ router, ask, objectiveAtMs });
     this.serve();
   }
 
@@ -145,7 +126,9 @@
 
   /** Forgets a request that wants to run no more. */
   withdraw(router: Router, ask: number): void {
-    this.#removeWhere((one) => one.router === router && one.ask.ask === ask);
+    this.#lines.removeWhere(
+      (one) => one.router === router && one.ask.ask === ask,
+    );
     this.serve();
   }
 
@@ -174,7 +157,7 @@
 
   /** Forgets a router that has gone, with all that it had. */
   drop(router: Router): void {
-    this.#removeWhere((one) => one.router === router);
+    this.#lines.removeWhere((one) => one.router === router);
     for (const run of this.#running.get(router)?.values() ?? []) {
       this.#work.end(run);
     }
@@ -185,9 +168,12 @@
   /** Permits what has room now; call it from time to time. */
   serve(): void {
     for (;;) {
-      const next = this.#next();
+      const next = this.#lines.next({
+        nowMs: this.#clock.monotonicMs(),
+        serviceOf: (team) => this.service.of(team),
+      });
       if (next === null || !this.#hasRoom(next.ask)) return;
-      this.#removeWhere((one) => one === next);
+      this.#lines.removeWhere((one) => one === next);
       const uncachedTokens = this.#uncached(next.ask);
       this.service.add(next.ask.team, next.ask.cost);
       this.#budget.take(uncachedTokens);
@@ -196,28 +182,6 @@
     }
   }
 
-  /**
-   * The most urgent request of the team with the least service. Requests
-   * whose objective has passed go behind all others: what they would take
-   * makes more callers late.
-   */
-  #next(): Waiting | null {
-    const nowMs = this.#clock.monotonicMs();
-    let next: Waiting | null = null;
-    let nextRank: readonly [number, number] = [2, 0];
-    for (const [team, line] of this.#waiting) {
-      const timely = line.find(({ objectiveAtMs }) => objectiveAtMs > nowMs);
-      const first = timely ?? line[0];
-      if (first === undefined) continue;
-      const service = first.ask.elsewhere + this.service.of(team);
-      const rank = [timely === undefined ? 1 : 0, service] as const;
-      if (!isBefore(rank, nextRank)) continue;
-      next = first;
-      nextRank = rank;
-    }
-    return next;
-  }
-
   #hasRoom(ask: Ask): boolean {
     if (this.#terms === null) return false;
     if (!this.#budget.isOpen && !this.#isIdle(this.#terms)) return false;
@@ -269,23 +233,6 @@
     const cachedTokens = this.#memory.cachedTokens(partsOf(parts));
     return total - Math.max(cachedTokens, copiedTokens);
   }
-
-  #removeWhere(matches: (waiting: Waiting) => boolean): void {
-    for (const [team, line] of this.#waiting) {
-      const kept = line.filter((one) => !matches(one));
-      if (kept.length === line.length) continue;
-      this.#asks -= line.length - kept.length;
-      if (kept.length === 0) this.#waiting.delete(team);
-      else this.#waiting.set(team, kept);
-    }
-  }
-}
-
-function isBefore(
-  [late, service]: readonly [number, number],
-  [otherLate, otherService]: readonly [number, number],
-): boolean {
-  return late === otherLate ? service < otherService : late < otherLate;
 }
 
 function isOlder(terms: EngineTerms, before: EngineTerms): boolean {
--- a/src/admission/router_session.ts
+++ b/src/admission/router_session.ts
@@ -2,7 +2,8 @@
 
 import type { Message, ServerReport, Strike } from "../protocol/mod.ts";
 import type { Connection } from "../transport/mod.ts";
-import type { Gate, Router } from "./gate.ts";
+import type { Router } from "./ask_lines.ts";
+import type { Gate } from "./gate.ts";
 
 /** Serves one router until its connection closes. */
 export class RouterSession implements Router {
