Test both programs as the platform starts them

The test fills in the templates, starts router and gate before the stand-in store and a scripted server, and plays a request, a change of the configuration, SIGTERM and settings that lack everything.

--- /dev/null
+++ b/tests/on_platform/whole_path_test.ts
@@ -0,0 +1,183 @@
+/** Both programs as the platform starts them, before a store and a replica. */
+
+import assert from "node:assert/strict";
+import { type ChildProcess, spawn } from "node:child_process";
+import { once } from "node:events";
+import { mkdtemp, readFile, rm, writeFile } from "node:fs/promises";
+import type { Server } from "node:http";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { after, before, test } from "node:test";
+import { request } from "undici";
+import { portOf, serve } from "../../stand_ins/http.ts";
+import { ScriptedServer } from "../../stand_ins/scripted_server.ts";
+import { Store } from "../../stand_ins/store/store.ts";
+import { freePorts } from "../../tools/fleet/ports.ts";
+import { until } from "../../tools/fleet/until.ts";
+import { answerWhole } from "../direct/fixture.ts";
+
+const TIMEOUT_MS = 15_000;
+const ROOT = new URL("../../../", import.meta.url).pathname;
+/** An address of this process's own: the port of metrics is fixed. */
+const ROUTER_IP = `127.8.${process.pid % 250}.1`;
+
+const store = new Store();
+const replica = new ScriptedServer(answerWhole);
+const started: Program[] = [];
+let storeServer: Server;
+let folder: string;
+let ports: number[];
+
+/** A started program and the events of its log. */
+interface Program {
+  readonly process: ChildProcess;
+  readonly events: Record<string, unknown>[];
+}
+
+function createConfiguration(version: number, pathPrefix: string) {
+  return {
+    version,
+    routes: [
+      {
+        ...{ name: "chat", host: "desk.example", pathPrefix },
+        ...{ kind: "idempotent", timeoutMs: 5000, targetLatencyMs: 800 },
+        ...{ priority: 1, maxAttempts: 2, service: "m" },
+      },
+    ],
+    services: [
+      { name: "m", maxConns: 360, engine: { slots: 8, kvCapacity: 100_000 } },
+    ],
+    limits: {
+      ...{ maxHeaderBytes: 16_384, maxBodyBytes: 100_000 },
+      ...{ headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
+    },
+    tenants: [{ name: "porters", apiKeys: ["k"] }],
+  };
+}
+
+/** What the platform knows of a machine. */
+function createFields(node: string, ip: string) {
+  const [front = 0, ready = 0, gate = 0] = ports;
+  return {
+    ...{ node, ip, zone: "a", service: "m", app: `127.0.0.1:${replica.port}` },
+    listen: { front: `127.0.0.1:${front}`, ready: `127.0.0.1:${ready}` },
+    internalPorts: [gate, gate + 1],
+    platform: { address: `127.0.0.1:${portOf(storeServer)}` },
+    bounds: {
+      ...{ graceS: 4, revokeMs: 5_000, stableWindowMs: 3_000, drainMs: 2_000 },
+      ...{ budgetRatio: 0.2, budgetWindowS: 10, retrySlack: 50 },
+    },
+  };
+}
+
+/** Fills in a template as the platform does, as far as ours need it. */
+async function render(role: string, fields: object): Promise<string> {
+  const path = join(ROOT, "deploy", `${role}.json.template`);
+  const template = await readFile(path, "utf8");
+  return template.replace(/\{\{([\w.]+)(\|json)?\}\}/g, (_all, name, json) => {
+    const value = name
+      .split(".")
+      .reduce((at: never, key: string) => at[key], fields as never);
+    return json === undefined ? String(value) : JSON.stringify(value);
+  });
+}
+
+async function start(role: string, settings: string): Promise<Program> {
+  const path = join(folder, `${role}-${started.length}.json`);
+  await writeFile(path, settings);
+  const program = join(ROOT, "dist", "platform", `${role}_main.js`);
+  const child = spawn(process.execPath, [program], {
+    env: { ...process.env, ORIOLEROUTER_BOOT: path },
+    stdio: ["ignore", "pipe", "inherit"],
+  });
+  const events: Record<string, unknown>[] = [];
+  let rest = "";
+  child.stdout.setEncoding("utf8").on("data", (text: string) => {
+    const lines = (rest + text).split("\n");
+    rest = lines.pop() ?? "";
+    for (const line of lines) events.push(JSON.parse(line));
+  });
+  const one = { process: child, events };
+  started.push(one);
+  return one;
+}
+
+async function isLogged({ events }: Program, event: string): Promise<void> {
+  const holds = () => events.some((one) => one.event === event);
+  await until(`the log tells "${event}"`, TIMEOUT_MS, { holds });
+}
+
+async function call(path: string) {
+  const [front] = ports;
+  const response = await request(`http://127.0.0.1:${front}${path}`, {
+    headers: {
+      ...{ host: "desk.example", "x-attempt-id": "id-1" },
+      ...{ "x-deadline-ms": "3000", authorization: "Token k" },
+      ...{ "x-model": "m", "x-token-count": "300,20" },
+      "x-prefix-hash": "aa:200,bb:100",
+    },
+  });
+  const text = await response.body.text();
+  return { status: response.statusCode, text };
+}
+
+before(async () => {
+  folder = await mkdtemp(join(tmpdir(), "whole-path-"));
+  ports = await freePorts(3);
+  storeServer = await serve((...args) => store.handle(...args), 0);
+  await replica.listen();
+  store.put("config", "main", createConfiguration(1, "/a/"));
+  store.put("servers", "i-1", {
+    ...{ service: "m", address: `127.0.0.1:${replica.port}`, zone: "a" },
+    ...{ slots: 8, state: "ready" },
+  });
+});
+
+after(async () => {
+  for (const { process: child } of started) child.kill("SIGKILL");
+  replica.crash();
+  storeServer.close();
+  storeServer.closeAllConnections();
+  await rm(folder, { recursive: true });
+});
+
+test("a request goes the whole way, and both programs end as told", async () => {
+  const gateFields = createFields("side-1", "127.0.0.1");
+  const gate = await start("admission", await render("admission", gateFields));
+  await isLogged(gate, "start");
+  const fields = createFields("edge-1", ROUTER_IP);
+  const router = await start("router", await render("router", fields));
+  await isLogged(router, "gate-connected");
+  const [, ready] = ports;
+  const readiness = await request(`http://127.0.0.1:${ready}/ready`);
+  await readiness.body.dump();
+  assert.equal(readiness.statusCode, 200);
+
+  assert.deepEqual(await call("/a/x"), { status: 200, text: "fine" });
+  const seen = replica.requests.find(({ path }) => path === "/a/x");
+  assert.equal(seen?.headers["x-expect-replica"], "i-1");
+  assert.equal(seen?.headers["x-tenant"], "porters");
+  assert.equal(seen?.headers.authorization, undefined);
+
+  store.put("config", "main", createConfiguration(2, "/b/"));
+  const isMoved = async () => (await call("/b/x")).status === 200;
+  await until("the new route is in force", TIMEOUT_MS, { holds: isMoved });
+  assert.equal((await call("/a/x")).status, 404);
+
+  for (const one of [router, gate]) {
+    const ended = once(one.process, "exit");
+    one.process.kill("SIGTERM");
+    assert.deepEqual(await ended, [0, null]);
+    await isLogged(one, "stopped");
+  }
+});
+
+test("settings that lack something end a program before it starts", async () => {
+  for (const role of ["router", "admission"]) {
+    const program = await start(role, "{}");
+    const [code] = await once(program.process, "exit");
+    assert.equal(code, 2);
+    await isLogged(program, "settings-refused");
+    assert.match(String(program.events[0]?.findings), /instance/);
+  }
+});
