--- /dev/null
+++ b/tests/scheduling/demands.ts
@@ -0,0 +1,32 @@
+/** Demands on a service. */
+
+import type { Demand } from "../../src/scheduling/demand.ts";
+
+/** Returns a demand of a plain request. */
+export function createDemand(change: Partial<Demand> = {}): Demand {
+  return {
+    requestId: "r",
+    team: "t",
+    service: "chat",
+    priority: 1,
+    prompt: null,
+    objectiveAtMs: 2_000,
+    objectiveMs: 1_000,
+    deadlineAtMs: 9_000,
+    excluded: new Set(),
+    ...change,
+  };
+}
+
+/** Returns a prompt with a head of 9,000 tokens and 1,000 of its own. */
+export function createPrompt(head: string, own: string) {
+  return {
+    model: "m",
+    parts: [
+      { id: head, tokens: 9_000 },
+      { id: own, tokens: 1_000 },
+    ],
+    inputTokens: 10_000,
+    outputTokens: 100,
+  };
+}
--- a/tests/scheduling/placement_test.ts
+++ b/tests/scheduling/placement_test.ts
@@ -4,7 +4,6 @@
 import { test } from "node:test";
 import type { BackendServer } from "../../src/directory/mod.ts";
 import type { Engine } from "../../src/routing/mod.ts";
-import type { Demand } from "../../src/scheduling/demand.ts";
 import type {
   EngineReport,
   GateAccess,
@@ -12,6 +11,7 @@
 import { choose } from "../../src/scheduling/placement.ts";
 import { ReadingRate } from "../../src/scheduling/reading_rate.ts";
 import { ServerLoad } from "../../src/scheduling/server_load.ts";
+import { createDemand, createPrompt } from "./demands.ts";
 
 const ENGINE = { slots: 16, cacheTokens: 400_000, copiedTokensPerMs: 0 };
 const SITE = { availabilityZone: "a", nowMs: 1_000, share: 1 };
@@ -59,33 +59,6 @@
   return new ServerLoad(server, engine, parts);
 }
 
-function createDemand(change: Partial<Demand> = {}): Demand {
-  return {
-    requestId: "r",
-    team: "t",
-    service: "chat",
-    priority: 1,
-    prompt: null,
-    objectiveAtMs: 2_000,
-    objectiveMs: 1_000,
-    deadlineAtMs: 9_000,
-    excluded: new Set(),
-    ...change,
-  };
-}
-
-function createPrompt(head: string, own: string) {
-  return {
-    model: "m",
-    parts: [
-      { id: head, tokens: 9_000 },
-      { id: own, tokens: 1_000 },
-    ],
-    inputTokens: 10_000,
-    outputTokens: 100,
-  };
-}
-
 test("requests with the same head go to the same engine", () => {
   const loads = ["e1", "e2", "e3", "e4"].map((id) => createLoad(id));
   const places = ["x", "y", "z"].map((own) => {
