Let no more callers wait to be accepted than wait at all

Change: the queue of new connections holds 128: a caller waits a second, a small machine takes some hundred in it.

--- a/src/direct/entry.ts
+++ b/src/direct/entry.ts
@@ -12,8 +12,12 @@
 
 /** Headers beyond any configured limit; the parser itself refuses them. */
 const PARSER_HEADER_LIMIT_BYTES = 64 * 1024;
-/** Connections that wait to be accepted, as after a pause of this process. */
-const BACKLOG = 1_024;
+/**
+ * Connections that wait to be accepted. A caller waits a second for one, and a
+ * small machine takes some hundred in that time: whoever stands further back
+ * has left before its turn, and would only delay those who come after it.
+ */
+const BACKLOG = 128;
 /** Time between two looks for callers that send headers too slowly. */
 const TIMEOUT_CHECK_MS = 1_000;
 
