--- a/src/direct/settings.ts
+++ b/src/direct/settings.ts
@@ -24,8 +24,6 @@
   readonly revocationMs: number;
   /** Milliseconds in which a lost answer of the registry must be noticed. */
   readonly noticeMs: number;
-  /** Milliseconds in which a server that drains must get no more requests. */
-  readonly drainMs: number;
   readonly retries: {
     /** Repeats for each request. */
     readonly ratio: number;
@@ -45,8 +43,8 @@
   type: "object",
   required: [
     ...["instance", "availabilityZone", "entry", "ready", "registry"],
-    ...["gatePort", "fleetKey", "graceSeconds", "revocationMs"],
-    ...["noticeMs", "drainMs", "retries"],
+    ...["gatePort", "fleetKey", "graceSeconds", "revocationMs", "noticeMs"],
+    "retries",
   ],
   properties: {
     instance: text,
@@ -60,7 +58,6 @@
     graceSeconds: amount,
     revocationMs: amount,
     noticeMs: amount,
-    drainMs: amount,
     retries: {
       type: "object",
       required: ["ratio", "windowSeconds", "slack"],
