Let one piece serve where the change had written it again

Found by reading the whole change again; behaviour is meant to stay as it is.

- listening with a rejection: listen(), for entry, readiness and transport
- waiting for SIGTERM or SIGINT: toldToEnd(), for both daemons
- processor time and memory gauges: metrics.registerUse()
- the share of failures at which engines are left out stood twice
- a gate reckoned a request's uncached tokens twice for each permit and looked through all teams to remove one ask
- a gate link kept a sum beside its report and made a copy of the report each time it was read, for every engine at every choice; it keeps one report
- RouteTable.hasTeams, .services, ServerDirectory.servers, .find: called by nothing
- tests: one fixture of a backend server for six, one of a stored configuration for two; no assertion is touched

Ruled out: one rank for both rendezvous hashes (their weights differ, so heads would move to other engines), the settings loader of src/configuration in platform/ (it would load a JSON parser more at each start), one retry budget (a window set by operators, and a balance: not the same logic).

--- a/src/admission/ask_lines.ts
+++ b/src/admission/ask_lines.ts
@@ -49,14 +49,15 @@
     this.#size += 1;
   }
 
+  /** Removes an ask. */
+  remove(waiting: WaitingAsk): void {
+    this.#keep(waiting.ask.team, (one) => one !== waiting);
+  }
+
   /** Removes every ask that matches. */
   removeWhere(matches: (waiting: WaitingAsk) => boolean): void {
-    for (const [team, line] of this.#byTeam) {
-      const kept = line.filter((one) => !matches(one));
-      if (kept.length === line.length) continue;
-      this.#size -= line.length - kept.length;
-      if (kept.length === 0) this.#byTeam.delete(team);
-      else this.#byTeam.set(team, kept);
+    for (const team of [...this.#byTeam.keys()]) {
+      this.#keep(team, (one) => !matches(one));
     }
   }
 
@@ -80,6 +81,14 @@
     }
     return next;
   }
+
+  #keep(team: string, stays: (waiting: WaitingAsk) => boolean): void {
+    const line = this.#byTeam.get(team) ?? [];
+    const kept = line.filter(stays);
+    this.#size -= line.length - kept.length;
+    if (kept.length === 0) this.#byTeam.delete(team);
+    else this.#byTeam.set(team, kept);
+  }
 }
 
 function isBefore(
--- a/src/admission/engine_state.ts
+++ b/src/admission/engine_state.ts
@@ -1,5 +1,7 @@
 /** What a gate believes of its engine, in a word for the log. */
 
+import { LEFT_OUT_SHARE } from "../scheduling/mod.ts";
+
 /** How an engine does. */
 export type EngineState =
   | "well"
@@ -15,8 +17,6 @@
   readonly presentTokensPerMs: number;
 }
 
-/** Share of failures at which routers leave an engine out. */
-const FAILING_SHARE = 0.5;
 /** Part of the usual rate under which an engine is called slow. */
 const SLOW_SHARE = 1 / 3;
 
@@ -26,7 +26,7 @@
   usualTokensPerMs,
   presentTokensPerMs,
 }: EngineSigns): EngineState {
-  if (failureShare > FAILING_SHARE) return "failing";
+  if (failureShare > LEFT_OUT_SHARE) return "failing";
   const isSlow = presentTokensPerMs < usualTokensPerMs * SLOW_SHARE;
   return isSlow ? "slow" : "well";
 }
--- a/src/admission/gate.ts
+++ b/src/admission/gate.ts
@@ -172,9 +172,10 @@
         nowMs: this.#clock.monotonicMs(),
         serviceOf: (team) => this.service.of(team),
       });
-      if (next === null || !this.#hasRoom(next.ask)) return;
-      this.#lines.removeWhere((one) => one === next);
+      if (next === null) return;
       const uncachedTokens = this.#uncached(next.ask);
+      if (!this.#hasRoom(next.ask, uncachedTokens)) return;
+      this.#lines.remove(next);
       this.service.add(next.ask.team, next.ask.cost);
       this.#budget.take(uncachedTokens);
       this.#begin(next.router, next.ask, uncachedTokens);
@@ -182,12 +183,12 @@
     }
   }
 
-  #hasRoom(ask: Ask): boolean {
+  #hasRoom(ask: Ask, uncachedTokens: number): boolean {
     if (this.#terms === null) return false;
     if (!this.#budget.isOpen && !this.#isIdle(this.#terms)) return false;
     const { slots, cacheTokens } = this.#terms;
     const addition = {
-      uncachedTokens: this.#uncached(ask),
+      uncachedTokens,
       privateTokens: ownTokens(ask.parts) + ask.outputTokens,
       objectiveMs: ask.objectiveMs,
     };
--- a/src/cli/daemon_commands.ts
+++ b/src/cli/daemon_commands.ts
@@ -5,6 +5,7 @@
 import { format } from "../common/finding.ts";
 import { flush, logger, setLevel } from "../common/log.ts";
 import type { Schema } from "../common/schema.ts";
+import { toldToEnd } from "../common/signal.ts";
 import {
   load,
   routerSettings,
@@ -69,10 +70,7 @@
 }
 
 async function runUntilSignal(daemon: Daemon): Promise<void> {
-  const signal = new Promise<void>((resolve) => {
-    process.once("SIGTERM", () => resolve());
-    process.once("SIGINT", () => resolve());
-  });
+  const signal = toldToEnd();
   try {
     await daemon.start();
   } catch (error) {
--- /dev/null
+++ b/src/common/listen.ts
@@ -0,0 +1,14 @@
+/** Listening, with the failure to bind as a rejection. */
+
+import type { ListenOptions, Server } from "node:net";
+
+/** Starts listening. Rejects when the address can't be bound. */
+export async function listen(
+  server: Server,
+  options: ListenOptions,
+): Promise<void> {
+  await new Promise<void>((resolve, reject) => {
+    server.once("error", reject);
+    server.listen(options, () => resolve());
+  });
+}
--- a/src/common/signal.ts
+++ b/src/common/signal.ts
@@ -7,6 +7,14 @@
   await delay(ms, undefined, { signal, ref: true }).catch(() => undefined);
 }
 
+/** Resolves once the process is told to end. */
+export function toldToEnd(): Promise<void> {
+  return new Promise((resolve) => {
+    process.once("SIGTERM", () => resolve());
+    process.once("SIGINT", () => resolve());
+  });
+}
+
 /** A promise with its resolver, settled once. */
 export class Deferred<T> {
   readonly promise: Promise<T>;
--- a/src/direct/answer.ts
+++ b/src/direct/answer.ts
@@ -2,13 +2,14 @@
 
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { OF_CONNECTION } from "../common/of_connection.ts";
 import { bodyOf, type Failure } from "../router/failure.ts";
 import type { AnswerHeaders, Dialect } from "./dialect.ts";
 
 /** Headers that concern the connection to a backend server only. */
-const OF_CONNECTION = new Set([
-  ...["connection", "keep-alive", "transfer-encoding", "trailer", "upgrade"],
-  ...["proxy-connection", "proxy-authenticate", "te"],
+const DROPPED = new Set([
+  ...OF_CONNECTION,
+  ...["proxy-connection", "proxy-authenticate"],
 ]);
 
 /** How an answer's end is told from a broken connection. */
@@ -72,7 +73,7 @@
     const response = this.#response;
     response.statusCode = status;
     for (const [name, value] of Object.entries(headers)) {
-      if (value === undefined || OF_CONNECTION.has(name)) continue;
+      if (value === undefined || DROPPED.has(name)) continue;
       response.setHeader(name, value);
     }
     if (framingOf(headers) === "until-close") {
--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -5,7 +5,7 @@
 import type { EventLog } from "../common/event_log.ts";
 import { sleep } from "../common/signal.ts";
 import { ServerDirectory } from "../directory/mod.ts";
-import * as metrics from "../metrics/registry.ts";
+import * as metrics from "../metrics/mod.ts";
 import type { Strike } from "../protocol/mod.ts";
 import { Quarantine } from "../quarantine/mod.ts";
 import { Scheduler } from "../scheduling/mod.ts";
@@ -174,24 +174,20 @@
   }
 
   #registerMetrics(): void {
-    const metrics = this.#metrics;
-    metrics.gauge("oriole_open_requests", () => this.#entry.open);
-    metrics.gauge("oriole_waiting_requests", () => this.waiting);
-    metrics.gauge("oriole_server_connections", () => this.#pool.opened);
-    metrics.gauge("oriole_routers", () => this.#scheduler.routers);
-    metrics.gauge("oriole_quarantined", () => this.#quarantine.size);
-    metrics.gauge(
+    const registry = this.#metrics;
+    registry.gauge("oriole_open_requests", () => this.#entry.open);
+    registry.gauge("oriole_waiting_requests", () => this.waiting);
+    registry.gauge("oriole_server_connections", () => this.#pool.opened);
+    registry.gauge("oriole_routers", () => this.#scheduler.routers);
+    registry.gauge("oriole_quarantined", () => this.#quarantine.size);
+    registry.gauge(
       "oriole_configuration_version",
       () => this.beliefs.table?.version ?? 0,
     );
-    metrics.gauge("oriole_configuration_age_seconds", () =>
+    registry.gauge("oriole_configuration_age_seconds", () =>
       Math.min(this.beliefs.ageMs / MS_PER_SECOND, OLDEST_AGE_S),
     );
-    metrics.gauge("oriole_resident_bytes", () => process.memoryUsage.rss());
-    metrics.gauge("oriole_cpu_seconds", () => {
-      const { user, system } = process.cpuUsage();
-      return (user + system) / 1e6;
-    });
+    metrics.registerUse(registry);
   }
 
   #follow(): void {
--- a/src/direct/entry.ts
+++ b/src/direct/entry.ts
@@ -6,6 +6,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import { listen } from "../common/listen.ts";
 import type { CallerLimits } from "../routing/mod.ts";
 import type { ListenAddress } from "../transport/mod.ts";
 import { Exchange, type ExchangeParts } from "./exchange.ts";
@@ -50,10 +51,7 @@
 
   /** Starts listening. Rejects when the address can't be bound. */
   async listen({ host, port }: ListenAddress): Promise<void> {
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen({ host, port, backlog: BACKLOG }, () => resolve());
-    });
+    await listen(this.#server, { host, port, backlog: BACKLOG });
   }
 
   /** Takes the bounds on what callers send. */
--- a/src/direct/gate_link.ts
+++ b/src/direct/gate_link.ts
@@ -63,9 +63,9 @@
   readonly #running = new Map<number, Running>();
   readonly #service: RecentService;
   #connection: Connection | null = null;
+  /** The latest report, with what was asked here since. */
   #report: ServerReport | null = null;
   #lastAsk = 0;
-  #askedSinceReportTokens = 0;
 
   constructor(parts: GateLinkParts) {
     this.#parts = parts;
@@ -80,10 +80,7 @@
   }
 
   get report(): EngineReport | null {
-    const report = this.#report;
-    if (report === null) return null;
-    const askedTokens = report.askedTokens + this.#askedSinceReportTokens;
-    return { ...report, askedTokens };
+    return this.#report;
   }
 
   /** Keeps a connection until `close`. */
@@ -116,7 +113,7 @@
     const ask = this.#lastAsk;
     const { demand, prompt, copiedTokens, elsewhere, leftMs } = question;
     this.#asked.set(ask, { question, reply });
-    this.#askedSinceReportTokens += prompt.parts.at(-1)?.tokens ?? 0;
+    this.#noteAsked(prompt);
     this.#connection?.send({
       ...{ type: "ask", ask, team: demand.team, elsewhere },
       cost: costOf(demand),
@@ -132,6 +129,13 @@
     };
   }
 
+  #noteAsked({ parts }: Prompt): void {
+    const report = this.#report;
+    if (report === null) return;
+    const askedTokens = report.askedTokens + (parts.at(-1)?.tokens ?? 0);
+    this.#report = { ...report, askedTokens };
+  }
+
   async #serve(connection: Connection): Promise<void> {
     const gate = connection.peer.instance;
     this.#connection = connection;
@@ -162,7 +166,6 @@
         return;
       case "server-report":
         this.#report = message;
-        this.#askedSinceReportTokens = 0;
         for (const [team, service] of message.teams) {
           this.#service.set(team, service);
         }
--- a/src/direct/ready_endpoint.ts
+++ b/src/direct/ready_endpoint.ts
@@ -1,6 +1,7 @@
 /** Where the platform's balancer and operators ask this process. */
 
 import { createServer, type Server } from "node:http";
+import { listen } from "../common/listen.ts";
 import type { ListenAddress } from "../transport/mod.ts";
 
 /** What the endpoint shows. */
@@ -34,10 +35,7 @@
 
   /** Starts listening. Rejects when the address can't be bound. */
   async listen({ host, port }: ListenAddress): Promise<void> {
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen({ host, port }, () => resolve());
-    });
+    await listen(this.#server, { host, port });
   }
 
   /** Stops listening and closes its connections. */
--- a/src/directory/server_directory.ts
+++ b/src/directory/server_directory.ts
@@ -38,16 +38,6 @@
     this.#listeners.push(listener);
   }
 
-  /** Every server that was announced and has not left. */
-  get servers(): Iterable<BackendServer> {
-    return this.#servers.values();
-  }
-
-  /** Returns the server with an id; null when it is not known. */
-  find(id: string): BackendServer | null {
-    return this.#servers.get(id) ?? null;
-  }
-
   /** Notes that the registry doesn't answer. */
   noteOutage(): void {
     this.#outage = true;
--- a/src/metrics/mod.ts
+++ b/src/metrics/mod.ts
@@ -1,4 +1,8 @@
 /** Metrics of one process. */
 
-export { type ProcessSources, register } from "./process_metrics.ts";
+export {
+  type ProcessSources,
+  register,
+  registerUse,
+} from "./process_metrics.ts";
 export { Registry } from "./registry.ts";
--- a/src/metrics/process_metrics.ts
+++ b/src/metrics/process_metrics.ts
@@ -20,6 +20,11 @@
   registry.gauge("oriole_control_messages", () => totals.controlMessages);
   registry.gauge("oriole_body_bytes", () => totals.bodyBytes);
   registry.gauge("oriole_platform_calls", () => sources.platformCalls());
+  registerUse(registry);
+}
+
+/** Registers what the process itself uses. */
+export function registerUse(registry: Registry): void {
   registry.gauge("oriole_cpu_seconds", () => {
     const { user, system } = process.cpuUsage();
     return (user + system) / 1e6;
--- a/src/routing/route_table.ts
+++ b/src/routing/route_table.ts
@@ -11,8 +11,6 @@
 export class RouteTable {
   readonly version: number;
   readonly limits: CallerLimits;
-  /** Whether callers show keys at all. */
-  readonly hasTeams: boolean;
   readonly #routesByHost = new Map<string, Route[]>();
   readonly #teamsByKey = new Map<string, string>();
   readonly #services = new Map<string, Service>();
@@ -21,7 +19,6 @@
     const { version, routes, services, teams, limits } = configuration;
     this.version = version;
     this.limits = limits;
-    this.hasTeams = teams !== null;
     for (const route of routes) {
       const rules = this.#routesByHost.get(route.host) ?? [];
       this.#routesByHost.set(route.host, [...rules, route]);
@@ -51,11 +48,6 @@
   service(name: string): Service | null {
     return this.#services.get(name) ?? null;
   }
-
-  /** Every service of this version. */
-  get services(): Iterable<Service> {
-    return this.#services.values();
-  }
 }
 
 /**
--- a/src/scheduling/mod.ts
+++ b/src/scheduling/mod.ts
@@ -4,7 +4,7 @@
 export * as engineRoom from "./engine_room.ts";
 export * from "./gate_access.ts";
 export * from "./outcome.ts";
-export { ownersOf } from "./placement.ts";
+export { LEFT_OUT_SHARE, ownersOf } from "./placement.ts";
 export { PromptMemory } from "./prompt_memory.ts";
 export { ReadingRate, SMALLEST_SAMPLE_TOKENS } from "./reading_rate.ts";
 export { type Run, RunningWork } from "./running_work.ts";
--- a/src/scheduling/placement.ts
+++ b/src/scheduling/placement.ts
@@ -33,7 +33,7 @@
 /** Extra cost of a plain server that fails all requests, in runs. */
 const FAILURE_COST_RUNS = 30;
 /** Engines that fail more than this are left out while most others don't. */
-const LEFT_OUT_SHARE = 0.5;
+export const LEFT_OUT_SHARE = 0.5;
 /** Cost of a stream that runs: each lengthens the others' steps a little. */
 const RUN_COST_MS = 1;
 /** Keeps the cost of an engine that has stopped finite. */
--- a/src/side_process/backend_client.ts
+++ b/src/side_process/backend_client.ts
@@ -3,6 +3,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { Agent, type Dispatcher, request } from "undici";
 import { messageOf } from "../common/error_message.ts";
+import { OF_CONNECTION } from "../common/of_connection.ts";
 import type { BackendServer } from "../configuration/mod.ts";
 import type { Header, Run } from "../protocol/mod.ts";
 
@@ -16,8 +17,8 @@
 const REQUEST_ID_HEADER = "x-request-id";
 /** Headers that belong to one connection only. */
 const HOP_HEADERS = new Set([
-  ...["connection", "keep-alive", "transfer-encoding", "te", "trailer"],
-  ...["upgrade", "proxy-authorization", "proxy-authenticate", "host"],
+  ...OF_CONNECTION,
+  ...["proxy-authorization", "proxy-authenticate", "host"],
   ...["content-length", "authorization", "expect"],
 ]);
 
--- a/src/transport/listener.ts
+++ b/src/transport/listener.ts
@@ -1,6 +1,7 @@
 /** Accepts connections of the system's own processes. */
 
 import { createServer, type Server } from "node:net";
+import { listen } from "../common/listen.ts";
 import { logger } from "../common/log.ts";
 import { Connection, type ConnectionOwner } from "./connection.ts";
 import { type Credentials, handshake } from "./handshake.ts";
@@ -30,10 +31,7 @@
 
   /** Starts listening. Rejects when the address can't be bound. */
   async listen({ host, port }: ListenAddress): Promise<void> {
-    await new Promise<void>((resolve, reject) => {
-      this.#server.once("error", reject);
-      this.#server.listen(port, host, () => resolve());
-    });
+    await listen(this.#server, { host, port });
   }
 
   /** Stops accepting and closes every connection. */
--- a/tests/direct/fixture.ts
+++ b/tests/direct/fixture.ts
@@ -12,6 +12,7 @@
 } from "../../stand_ins/scripted_server.ts";
 import { freePorts } from "../../tools/fleet/ports.ts";
 import { createConfiguration } from "../support/routes.ts";
+import { createServer } from "../support/servers.ts";
 
 const events = new EventLog("test", (_text, done) => done(null));
 
@@ -77,16 +78,8 @@
 
 /** Announces a server of the service `desk`. */
 export function announce(router: DirectRouter, id: string, port: number): void {
-  router.directory.put({
-    id,
-    service: "desk",
-    host: "127.0.0.1",
-    port,
-    availabilityZone: "a",
-    slots: 8,
-    state: "ready",
-    startedAtMs: 0,
-  });
+  const place = { id, host: "127.0.0.1", port, slots: 8 };
+  router.directory.put(createServer(place));
 }
 
 function confirm({ beliefs }: DirectRouter): void {
--- a/tests/direct/gates_test.ts
+++ b/tests/direct/gates_test.ts
@@ -6,24 +6,17 @@
 import { systemClock } from "../../src/common/clock.ts";
 import { EventLog } from "../../src/common/event_log.ts";
 import { Gates } from "../../src/direct/gates.ts";
-import type { BackendServer } from "../../src/directory/mod.ts";
 import { RouteTable } from "../../src/routing/mod.ts";
 import { freePorts } from "../../tools/fleet/ports.ts";
 import { until } from "../../tools/fleet/until.ts";
 import { createConfiguration } from "../support/routes.ts";
+import { createServer } from "../support/servers.ts";
 
 const TIMEOUT_MS = 5_000;
 const HOST = "127.0.0.1";
 const fleetKey = "key of the test fleet";
 const events = new EventLog("test", (_text, done) => done(null));
 
-function createServer(id: string, startedAtMs: number): BackendServer {
-  return {
-    ...{ id, service: "desk", host: HOST, port: 1, startedAtMs },
-    ...{ availabilityZone: "a", slots: 8, state: "ready" as const },
-  };
-}
-
 async function createWorld() {
   const [port = 0] = await freePorts(1);
   const admission = new AdmissionProcess(
@@ -62,7 +55,8 @@
 
 test("a gate is kept while the entry of its engine's last life ends", async () => {
   const { gates, close } = await createWorld();
-  const [old, present] = [createServer("e1", 1), createServer("e2", 2)];
+  const old = createServer({ id: "e1", host: HOST, startedAtMs: 1 });
+  const present = createServer({ id: "e2", host: HOST, startedAtMs: 2 });
   const gate = gates.of(present);
   gates.of(old);
   const holds = () => gate?.connected === true;
@@ -75,10 +69,11 @@
 
 test("a gate is left once no server is at its host", async () => {
   const { gates, close } = await createWorld();
-  const gate = gates.of(createServer("e1", 1));
+  const server = createServer({ host: HOST });
+  const gate = gates.of(server);
   const holds = () => gate?.connected === true;
   await until("the gate is connected", TIMEOUT_MS, { holds });
-  gates.drop(createServer("e1", 1));
+  gates.drop(server);
   const isLeft = () => gate?.connected === false;
   await until("the gate is left", TIMEOUT_MS, { holds: isLeft });
   await close();
--- a/tests/direct/parts_test.ts
+++ b/tests/direct/parts_test.ts
@@ -7,9 +7,9 @@
 import { CrashWatch } from "../../src/direct/crash_watch.ts";
 import { EventSplitter } from "../../src/direct/event_splitter.ts";
 import { RetryAllowance } from "../../src/direct/retry_allowance.ts";
-import type { BackendServer } from "../../src/directory/mod.ts";
 import { createClock } from "../support/manual_clock.ts";
 import { createConfiguration } from "../support/routes.ts";
+import { createServer } from "../support/servers.ts";
 
 const SILENT = new EventLog("test", (_text, done) => done(null));
 
@@ -82,23 +82,10 @@
   assert.equal(splitter.lastId, "2");
 });
 
-function createServer(startedAtMs: number): BackendServer {
-  return {
-    id: "s",
-    service: "desk",
-    host: "10.0.0.1",
-    port: 1,
-    availabilityZone: "a",
-    slots: 1,
-    state: "ready",
-    startedAtMs,
-  };
-}
-
 test("a broken answer counts as a crash once its server is gone", () => {
   const clock = createClock();
   const watch = new CrashWatch(clock);
-  const server = createServer(1);
+  const server = createServer();
   assert.equal(watch.noteUnreachable(server), null);
   watch.noteBroken(server, "f1");
   const strike = watch.noteUnreachable(server);
@@ -109,9 +96,9 @@
 test("an answer that broke long before strikes nobody", () => {
   const clock = createClock();
   const watch = new CrashWatch(clock);
-  watch.noteBroken(createServer(1), "f1");
+  watch.noteBroken(createServer(), "f1");
   clock.pass(1_001);
-  assert.equal(watch.noteUnreachable(createServer(1)), null);
+  assert.equal(watch.noteUnreachable(createServer()), null);
 });
 
 test("a reader that is stopped costs lines and never holds up", () => {
--- a/tests/directory/server_directory_test.ts
+++ b/tests/directory/server_directory_test.ts
@@ -3,25 +3,11 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import {
-  type BackendServer,
   REGISTRATION_GRACE_MS,
   ServerDirectory,
 } from "../../src/directory/mod.ts";
 import { createClock } from "../support/manual_clock.ts";
-
-function createServer(change: Partial<BackendServer> = {}): BackendServer {
-  return {
-    id: "s1",
-    service: "chat",
-    host: "10.0.0.1",
-    port: 8080,
-    availabilityZone: "a",
-    slots: 4,
-    state: "ready",
-    startedAtMs: 100,
-    ...change,
-  };
-}
+import { createServer } from "../support/servers.ts";
 
 function createDirectory() {
   const clock = createClock();
--- a/tests/on_platform/inspect_test.ts
+++ b/tests/on_platform/inspect_test.ts
@@ -6,34 +6,25 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { after, before, test } from "node:test";
+import {
+  createWireConfiguration,
+  createWireRoute,
+} from "./wire_configuration.ts";
 
 const PROGRAM = new URL("../../platform/inspect_main.js", import.meta.url)
   .pathname;
 
-const CONFIGURATION = {
+const CONFIGURATION = createWireConfiguration({
   version: 7,
   routes: [
-    {
-      ...{ name: "chat", host: "desk.example", pathPrefix: "/a/" },
-      ...{ kind: "streaming", timeoutMs: 5000, targetLatencyMs: 800 },
-      ...{ priority: 1, maxAttempts: 2, service: "m", streamResume: true },
-    },
-    {
-      ...{ name: "notes", host: "desk.example", pathPrefix: "/a/b/" },
-      ...{ kind: "non_idempotent", timeoutMs: 900, targetLatencyMs: 100 },
-      ...{ priority: 1, maxAttempts: 1, service: "n", authExempt: true },
-    },
+    createWireRoute({ streamResume: true }),
+    createWireRoute({
+      ...{ name: "notes", pathPrefix: "/a/b/", kind: "non_idempotent" },
+      ...{ timeoutMs: 900, targetLatencyMs: 100, maxAttempts: 1 },
+      ...{ service: "n", authExempt: true },
+    }),
   ],
-  services: [
-    { name: "m", maxConns: 360, engine: { slots: 64, kvCapacity: 1000 } },
-    { name: "n", maxConns: 96 },
-  ],
-  limits: {
-    ...{ maxHeaderBytes: 1, maxBodyBytes: 2 },
-    ...{ headerTimeoutMs: 3, idleTimeoutMs: 4 },
-  },
-  tenants: [{ name: "porters", apiKeys: ["k"] }],
-};
+});
 
 function createEntry(name: string, spec: object) {
   const metadata = { name, rev: 1 };
--- a/tests/on_platform/whole_path_test.ts
+++ b/tests/on_platform/whole_path_test.ts
@@ -15,6 +15,10 @@
 import { freePorts } from "../../tools/fleet/ports.ts";
 import { until } from "../../tools/fleet/until.ts";
 import { answerWhole } from "../direct/fixture.ts";
+import {
+  createWireConfiguration,
+  createWireRoute,
+} from "./wire_configuration.ts";
 
 const TIMEOUT_MS = 15_000;
 const ROOT = new URL("../../../", import.meta.url).pathname;
@@ -35,24 +39,8 @@
 }
 
 function createConfiguration(version: number, pathPrefix: string) {
-  return {
-    version,
-    routes: [
-      {
-        ...{ name: "chat", host: "desk.example", pathPrefix },
-        ...{ kind: "idempotent", timeoutMs: 5000, targetLatencyMs: 800 },
-        ...{ priority: 1, maxAttempts: 2, service: "m" },
-      },
-    ],
-    services: [
-      { name: "m", maxConns: 360, engine: { slots: 8, kvCapacity: 100_000 } },
-    ],
-    limits: {
-      ...{ maxHeaderBytes: 16_384, maxBodyBytes: 100_000 },
-      ...{ headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
-    },
-    tenants: [{ name: "porters", apiKeys: ["k"] }],
-  };
+  const route = createWireRoute({ kind: "idempotent", pathPrefix });
+  return createWireConfiguration({ version, routes: [route] });
 }
 
 /** What the platform knows of a machine. */
--- a/tests/scheduling/copied_heads_test.ts
+++ b/tests/scheduling/copied_heads_test.ts
@@ -9,6 +9,7 @@
 import { PromptMemory } from "../../src/scheduling/prompt_memory.ts";
 import { ReadingRate } from "../../src/scheduling/reading_rate.ts";
 import { ServerLoad } from "../../src/scheduling/server_load.ts";
+import { createServer } from "../support/servers.ts";
 import { createDemand, createPrompt } from "./demands.ts";
 
 const TOKENS_PER_MS = 40;
@@ -24,10 +25,7 @@
 
 function createEngine(id: string, copiedTokensPerMs: number): Engine {
   const load = new ServerLoad(
-    {
-      ...{ id, service: "chat", host: id, port: 1, availabilityZone: "a" },
-      ...{ slots: 64, state: "ready", startedAtMs: 0 },
-    },
+    createServer({ id, service: "chat", host: id, slots: 64 }),
     { slots: 64, cacheTokens: CACHE_TOKENS, copiedTokensPerMs },
     { rate: new ReadingRate(TOKENS_PER_MS), gate: null },
   );
--- a/tests/scheduling/placement_test.ts
+++ b/tests/scheduling/placement_test.ts
@@ -11,6 +11,7 @@
 import { choose } from "../../src/scheduling/placement.ts";
 import { ReadingRate } from "../../src/scheduling/reading_rate.ts";
 import { ServerLoad } from "../../src/scheduling/server_load.ts";
+import { createServer } from "../support/servers.ts";
 import { createDemand, createPrompt } from "./demands.ts";
 
 const ENGINE = { slots: 16, cacheTokens: 400_000, copiedTokensPerMs: 0 };
@@ -44,17 +45,7 @@
   change: Partial<BackendServer> = {},
   { engine = ENGINE, gate = null }: LoadOptions = {},
 ) {
-  const server: BackendServer = {
-    id,
-    service: "chat",
-    host: "10.0.0.1",
-    port: 1,
-    availabilityZone: "a",
-    slots: 2,
-    state: "ready",
-    startedAtMs: 0,
-    ...change,
-  };
+  const server = createServer({ id, service: "chat", slots: 2, ...change });
   const parts = { rate: new ReadingRate(40), gate };
   return new ServerLoad(server, engine, parts);
 }
