Measure for how long new connections wait to be accepted

The event loop (libuv 1.46 of Node 20) accepts one connection a turn, so a turn without one shows that the queue is empty. Routers now log `accept-queue` with the time for which it was not and the longest turn in it, and export both as metrics.

--- a/src/direct/caller_server.ts
+++ b/src/direct/caller_server.ts
@@ -6,6 +6,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import { AcceptQueue, type QueueReport } from "../common/accept_queue.ts";
 import { listen } from "../common/listen.ts";
 import type { CallerLimits } from "../routing/mod.ts";
 import type { ListenAddress } from "../transport/mod.ts";
@@ -23,6 +24,12 @@
 /** Interval of the check for callers that send their headers too slowly. */
 const TIMEOUT_CHECK_INTERVAL_MS = 1_000;
 
+/**
+ * Time for which a queue may stand before it is more than a burst, as in CoDel
+ * (RFC 8289, "interval").
+ */
+const STANDING_QUEUE_MS = 100;
+
 /** Stage of the shutdown. */
 type Stage = "open" | "draining" | "closed";
 
@@ -31,9 +38,11 @@
   readonly #deps: ExchangeDependencies;
   readonly #server: Server;
   readonly #exchanges = new Set<Exchange>();
+  readonly #acceptQueue: AcceptQueue;
   #stage: Stage = "open";
 
   constructor(deps: ExchangeDependencies) {
+    const { clock } = deps;
     this.#deps = deps;
     const options = {
       maxHeaderSize: PARSER_HEADER_LIMIT_BYTES,
@@ -43,6 +52,10 @@
     this.#server = createServer(options, (request, response) => {
       void this.#serve(request, response);
     });
+    this.#acceptQueue = new AcceptQueue(this.#server, {
+      clock,
+      onReport: (report) => this.#recordQueue(report),
+    });
   }
 
   /** Number of requests in progress. */
@@ -50,6 +63,11 @@
     return this.#exchanges.size;
   }
 
+  /** Time for which connections have been waiting to be accepted, in ms. */
+  get standingQueueMs(): number {
+    return this.#acceptQueue.standingMs;
+  }
+
   /** Starts listening. Rejects if the address can't be bound. */
   async listen({ host, port }: ListenAddress): Promise<void> {
     await listen(this.#server, { host, port, backlog: ACCEPT_BACKLOG });
@@ -101,6 +119,18 @@
     }
   }
 
+  #recordQueue({ standingMs, accepted, longestTurnMs }: QueueReport): void {
+    const { metrics, events } = this.#deps;
+    metrics.count("oriole_connections_total", {}, accepted);
+    metrics.observe("oriole_accept_queue_seconds", standingMs);
+    if (standingMs < STANDING_QUEUE_MS) return;
+    events.warn("accept-queue", {
+      ...{ standingMs: Math.round(standingMs), accepted },
+      longestTurnMs: Math.round(longestTurnMs),
+      openRequests: this.openRequests,
+    });
+  }
+
   /**
    * Closes a connection whose response started before the shutdown, and so
    * without `Connection: close`.
--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -192,6 +192,10 @@
       "oriole_open_requests",
       () => this.#callerServer.openRequests,
     );
+    registry.gauge(
+      "oriole_accept_queue_standing_seconds",
+      () => this.#callerServer.standingQueueMs / MS_PER_SECOND,
+    );
     registry.gauge("oriole_waiting_requests", () => this.waiting);
     registry.gauge(
       "oriole_server_connections",
