Log the id of a request whose caller left before it was read

The request line of such a request had an empty id, so that its caller's complaint could not be traced to it. Tests of the direct path: 37 of 37 pass.

--- a/src/direct/exchange.ts
+++ b/src/direct/exchange.ts
@@ -118,18 +118,23 @@
 
   /** Ends a request whose caller left before it was read. */
   drop(): void {
+    this.#readId();
     this.#record.end = "caller-left";
     this.#record.finish(null);
   }
 
   /** Fails the request unread with a 503; the caller may retry elsewhere. */
   refuse(code: string, options: RefusalOptions = {}): void {
-    const terms = this.#deps.dialect.readRequest(this.#request.headers);
-    if (terms.isOk()) this.#record.logFields.id = terms.value.id ?? "";
+    this.#readId();
     this.#fail({ ...unavailableHere(code), ...options });
     this.#record.finish(this.#response.status);
   }
 
+  #readId(): void {
+    const terms = this.#deps.dialect.readRequest(this.#request.headers);
+    if (terms.isOk()) this.#record.logFields.id = terms.value.id ?? "";
+  }
+
   async #serve(admitted: AdmittedRequest): Promise<void> {
     const { clock, retryBudget } = this.#deps;
     const { route, service, deadlineAtMs } = admitted;
