Keep a reset connection from failing the overload test

events.once rejects when the socket has an error, and the scripted server does not await its script: a reset by the router would end the test's process.

--- a/tests/direct/overload_test.ts
+++ b/tests/direct/overload_test.ts
@@ -19,7 +19,8 @@
   const script = async (request: ReceivedRequest) => {
     running += 1;
     const { socket } = request;
-    await Promise.race([delay(RESPONSE_DELAY_MS), once(socket, "close")]);
+    const closed = new Promise((resolve) => socket.once("close", resolve));
+    await Promise.race([delay(RESPONSE_DELAY_MS), closed]);
     running -= 1;
     if (!socket.destroyed) respondCompletely(request);
   };
