Log by team where requests are refused

Routers now write a team-load line and admission controllers a team-permits line for the largest teams of each second with refusals; request lines bear the cost and the engine that was awaited.

--- a/src/admission/admission_process.ts
+++ b/src/admission/admission_process.ts
@@ -22,6 +22,10 @@
 const REPORT_CHECK_INTERVAL_MS = 25;
 /** Interval at which queued requests are tried as the token bucket refills. */
 const ADMISSION_INTERVAL_MS = 10;
+/** Interval of the log lines that tell what became of each team's requests. */
+const TEAM_LOG_INTERVAL_MS = 1_000;
+/** Teams per interval that are logged. */
+const LOGGED_TEAMS = 4;
 /** Gain in recent usage above which a team is in the next report. */
 const MIN_REPORTED_GAIN_TOKENS = 1;
 
@@ -39,6 +43,7 @@
   #engineState: EngineState = "well";
   #reportTimer: NodeJS.Timeout | null = null;
   #admissionTimer: NodeJS.Timeout | null = null;
+  #teamLogTimer: NodeJS.Timeout | null = null;
 
   constructor(
     settings: AdmissionSettings,
@@ -77,6 +82,10 @@
       () => this.#controller.admitQueued(),
       ADMISSION_INTERVAL_MS,
     );
+    this.#teamLogTimer = setInterval(
+      () => this.#logTeams(),
+      TEAM_LOG_INTERVAL_MS,
+    );
     this.#events.info("start", { instance, service });
   }
 
@@ -91,6 +100,7 @@
   async close(): Promise<void> {
     if (this.#reportTimer !== null) clearInterval(this.#reportTimer);
     if (this.#admissionTimer !== null) clearInterval(this.#admissionTimer);
+    if (this.#teamLogTimer !== null) clearInterval(this.#teamLogTimer);
     this.#events.info("stop", { routers: this.#sessions.size });
     await this.#listener.close();
     this.#events.info("stopped", { asks: this.#controller.load.asks });
@@ -138,6 +148,18 @@
     this.#events.info("engine", { state, before, ...load });
   }
 
+  /** Logs the largest teams of an interval in which requests were withdrawn. */
+  #logTeams(): void {
+    const { teamTally, recentUsage } = this.#controller;
+    const isLogged = teamTally.has("withdrawn");
+    const teams = teamTally.take(LOGGED_TEAMS);
+    if (!isLogged) return;
+    for (const { team, counts } of teams) {
+      const usage = Math.round(recentUsage.of(team));
+      this.#events.info("team-permits", { team, usage, ...counts });
+    }
+  }
+
   #sendReport(): void {
     const teams = this.#changedTeams();
     const report = this.#createReport(teams);
--- a/src/admission/controller.ts
+++ b/src/admission/controller.ts
@@ -8,7 +8,7 @@
  */
 
 import type { Clock } from "../common/clock.ts";
-import { RecentUsage } from "../fairness/mod.ts";
+import { RecentUsage, TeamTally } from "../fairness/mod.ts";
 import type {
   EngineConfiguration,
   PermitOutcome,
@@ -63,6 +63,8 @@
 export class AdmissionController {
   /** Recent usage by each team at this engine, in prompt tokens. */
   readonly recentUsage: RecentUsage;
+  /** Requests that were permitted or withdrawn. */
+  readonly teamTally = new TeamTally();
   readonly #clock: Clock;
   readonly #queue = new AdmissionQueue();
   readonly #runsByRouter = new Map<
@@ -153,9 +155,12 @@
 
   /** Removes a request from the queue. */
   withdraw(router: PermitReceiver, ask: number): void {
-    this.#queue.removeWhere(
-      (queued) => queued.router === router && queued.request.ask === ask,
-    );
+    this.#queue.removeWhere((queued) => {
+      const { request } = queued;
+      const matches = queued.router === router && request.ask === ask;
+      if (matches) this.teamTally.add(request.team, "withdrawn", request.cost);
+      return matches;
+    });
     this.admitQueued();
   }
 
@@ -212,7 +217,9 @@
       const uncachedTokens = this.#countUncachedTokens(next.request);
       if (!this.#hasCapacity(next.request, uncachedTokens)) return;
       this.#queue.remove(next);
-      this.recentUsage.add(next.request.team, next.request.cost);
+      const { team, cost } = next.request;
+      this.recentUsage.add(team, cost);
+      this.teamTally.add(team, "permitted", cost);
       this.#tokenBucket.spend(uncachedTokens);
       this.#startRun(next.router, next.request, uncachedTokens);
       next.router.permit(next.request.ask, uncachedTokens);
--- a/src/direct/admit.ts
+++ b/src/direct/admit.ts
@@ -5,6 +5,7 @@
 import { badRequest, type Failure, notRun } from "../router/failure.ts";
 import { readBody } from "../router/request_body.ts";
 import { destinationOf, type Route, type RouteTable } from "../routing/mod.ts";
+import { costOf } from "../scheduling/mod.ts";
 import type { CallerWaitEstimator } from "./caller_wait_estimator.ts";
 import type { ConfigurationState } from "./configuration_state.ts";
 import type { Dialect, RequestTerms } from "./dialect.ts";
@@ -24,6 +25,8 @@
   id: string;
   team: string | null;
   route: string | null;
+  /** Cost in prompt tokens. */
+  tokens: number;
 }
 
 /** Context of one `admit` call. */
@@ -59,6 +62,7 @@
     return err(badRequest(400, "bad-header", { sentence: terms.error }));
   }
   options.logFields.id = terms.value.id ?? "";
+  options.logFields.tokens = costOf(terms.value);
   const { table } = configuration;
   if (table === null) return err(unavailableHere("no-configuration"));
   const { headerBytes: limitBytes, bodyBytes } = table.limits;
--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -5,6 +5,7 @@
 import type { EventLog } from "../common/event_log.ts";
 import { sleep } from "../common/promises.ts";
 import { ServerDirectory } from "../directory/mod.ts";
+import { TeamTally } from "../fairness/mod.ts";
 import * as metrics from "../metrics/mod.ts";
 import type { Strike } from "../protocol/mod.ts";
 import { Quarantine } from "../quarantine/mod.ts";
@@ -43,6 +44,10 @@
 /** Age that is reported for a configuration that was never confirmed. */
 const MAX_REPORTED_AGE_S = 1e6;
 const DRAIN_CHECK_INTERVAL_MS = 20;
+/** Interval of the log lines that tell what became of each team's requests. */
+const TEAM_LOG_INTERVAL_MS = 1_000;
+/** Teams per interval that are logged. */
+const LOGGED_TEAMS = 8;
 const DIRECTORY_SWEEP_INTERVAL_MS = 100;
 const MS_PER_SECOND = 1_000;
 
@@ -67,7 +72,9 @@
   readonly #callerServer: CallerServer;
   readonly #readyEndpoint: MonitoringEndpoint;
   readonly #metricsEndpoint: MonitoringEndpoint;
+  readonly #teamTally = new TeamTally();
   #sweepTimer: NodeJS.Timeout | null = null;
+  #teamLogTimer: NodeJS.Timeout | null = null;
   #closing = false;
 
   constructor(
@@ -108,6 +115,7 @@
       quarantine: this.#quarantine,
       crashDetector: this.#crashDetector,
       metrics: this.#metrics,
+      teamTally: this.#teamTally,
       callerWaits: new CallerWaitEstimator(),
       onServerCrash: (strike) => this.#handleCrash(strike),
     });
@@ -138,6 +146,10 @@
       () => this.directory.sweep(),
       DIRECTORY_SWEEP_INTERVAL_MS,
     );
+    this.#teamLogTimer = setInterval(
+      () => this.#logTeams(),
+      TEAM_LOG_INTERVAL_MS,
+    );
     this.#events.info("start", { instance, entry });
   }
 
@@ -184,6 +196,7 @@
     this.#admissionClients.close();
     this.#scheduler.close();
     if (this.#sweepTimer !== null) clearInterval(this.#sweepTimer);
+    if (this.#teamLogTimer !== null) clearInterval(this.#teamLogTimer);
   }
 
   #registerMetrics(): void {
@@ -226,6 +239,16 @@
     });
   }
 
+  /** Logs the largest teams of an interval in which requests were refused. */
+  #logTeams(): void {
+    const tally = this.#teamTally;
+    const isLogged = tally.has("no-room") || tally.has("overloaded");
+    const teams = tally.take(LOGGED_TEAMS);
+    if (!isLogged) return;
+    for (const { team, counts } of teams)
+      this.#events.info("team-load", { team, ...counts });
+  }
+
   #handleCrash(strike: Strike): void {
     this.#quarantine.strike(strike);
     this.#admissionClients.sendStrike(strike);
--- a/src/direct/exchange.ts
+++ b/src/direct/exchange.ts
@@ -5,6 +5,7 @@
 import type { Clock } from "../common/clock.ts";
 import type { EventLog } from "../common/event_log.ts";
 import type { BackendServer } from "../directory/mod.ts";
+import type { TeamTally } from "../fairness/mod.ts";
 import type { MetricsRegistry } from "../metrics/registry.ts";
 import type { Strike } from "../protocol/mod.ts";
 import { fingerprintOf, type Quarantine } from "../quarantine/mod.ts";
@@ -14,12 +15,13 @@
   notRun,
   outcomeUnknown,
 } from "../router/failure.ts";
-import type {
-  Decision,
-  Demand,
-  Outcome,
-  Placement,
-  Scheduler,
+import {
+  costOf,
+  type Decision,
+  type Demand,
+  type Outcome,
+  type Placement,
+  type Scheduler,
 } from "../scheduling/mod.ts";
 import {
   type AdmittedRequest,
@@ -60,6 +62,7 @@
   readonly quarantine: Quarantine;
   readonly crashDetector: CrashDetector;
   readonly metrics: MetricsRegistry;
+  readonly teamTally: TeamTally;
   readonly callerWaits: CallerWaitEstimator;
   /** Called when this router detects that a server has crashed. */
   onServerCrash(strike: Strike): void;
@@ -118,21 +121,29 @@
 
   /** Ends a request whose caller left before it was read. */
   drop(): void {
-    this.#readId();
+    this.#readTerms();
     this.#record.end = "caller-left";
     this.#record.finish(null);
   }
 
   /** Fails the request unread with a 503; the caller may retry elsewhere. */
   refuse(code: string, options: RefusalOptions = {}): void {
-    this.#readId();
+    this.#readTerms();
     this.#fail({ ...unavailableHere(code), ...options });
     this.#record.finish(this.#response.status);
   }
 
-  #readId(): void {
-    const terms = this.#deps.dialect.readRequest(this.#request.headers);
-    if (terms.isOk()) this.#record.logFields.id = terms.value.id ?? "";
+  /** Reads what the log tells of a request that isn't served. */
+  #readTerms(): void {
+    const { dialect, configuration } = this.#deps;
+    const { logFields } = this.#record;
+    const terms = dialect.readRequest(this.#request.headers);
+    if (terms.isErr()) return;
+    const { id, apiKey } = terms.value;
+    logFields.id = id ?? "";
+    logFields.tokens = costOf(terms.value);
+    if (apiKey !== null)
+      logFields.team = configuration.table?.teamOf(apiKey) ?? null;
   }
 
   async #serve(admitted: AdmittedRequest): Promise<void> {
@@ -202,7 +213,8 @@
         this.#endCancelled();
         return DONE;
       case "refused": {
-        const { reason, retryAfterMs } = decision;
+        const { reason, retryAfterMs, awaitedServer } = decision;
+        this.#record.recordRefusal(awaitedServer);
         if (this.#mayHaveRun || this.#response.hasStarted) {
           this.#fail(
             outcomeUnknown(
--- a/src/direct/request_record.ts
+++ b/src/direct/request_record.ts
@@ -2,6 +2,7 @@
 
 import type { Clock } from "../common/clock.ts";
 import type { EventLog } from "../common/event_log.ts";
+import type { TeamTally } from "../fairness/mod.ts";
 import type { MetricsRegistry } from "../metrics/registry.ts";
 import type { Placement } from "../scheduling/mod.ts";
 import type { RequestLogFields } from "./admit.ts";
@@ -13,6 +14,8 @@
   readonly events: EventLog;
   readonly metrics: MetricsRegistry;
   readonly configuration: ConfigurationState;
+  /** Counts the requests that end, by team. */
+  readonly teamTally: TeamTally;
 }
 
 /** Filled in while a request is served. Call `finish` once at its end. */
@@ -20,11 +23,14 @@
   /** Monotonic time at which the request arrived. */
   readonly arrivedMs: number;
   /** Identity of the request, as far as it is known. */
-  readonly logFields: RequestLogFields = { id: "", team: null, route: null };
+  readonly logFields: RequestLogFields = {
+    ...{ id: "", team: null, route: null, tokens: 0 },
+  };
   /** `end` value of the log line and the metrics: how the request ended. */
   end = "unknown";
   readonly #deps: RequestRecordDependencies;
   #placement: Placement | null = null;
+  #awaitedServer: string | null = null;
   #sends = 0;
   #waitedMs = 0;
   #firstByteMs: number | null = null;
@@ -45,6 +51,11 @@
     this.#waitedMs = this.#sinceArrivalMs();
   }
 
+  /** Records the server whose permit was awaited when it was refused. */
+  recordRefusal(awaitedServer: string | null): void {
+    this.#awaitedServer = awaitedServer;
+  }
+
   /** Counts a send. */
   recordSend(): void {
     this.#sends += 1;
@@ -75,11 +86,13 @@
   finish(status: number | null): void {
     const tookMs = this.#sinceArrivalMs();
     this.#count(String(status ?? 0), tookMs);
-    const { events, configuration } = this.#deps;
-    const { id, team, route } = this.logFields;
+    const { events, configuration, teamTally } = this.#deps;
+    const { id, team, route, tokens } = this.logFields;
+    if (team !== null) teamTally.add(team, this.end, tokens);
     events.info("request", {
       ...{ request: id, team, route },
       ...{ server: this.#server, sends: this.#sends, end: this.end },
+      ...{ awaited: this.#awaitedServer, tokens },
       uncached: this.#placement?.uncachedTokens ?? null,
       source: this.#placement?.source?.id ?? null,
       ...{ status, waitedMs: this.#waitedMs },
--- a/src/scheduling/demand.ts
+++ b/src/scheduling/demand.ts
@@ -39,7 +39,7 @@
 const GENERATED_TOKEN_WEIGHT = 2;
 
 /** Cost of a request in prompt tokens, as charged to its team's usage. */
-export function costOf({ prompt }: Demand): number {
+export function costOf({ prompt }: Pick<Demand, "prompt">): number {
   if (prompt === null) return 1;
   return prompt.inputTokens + GENERATED_TOKEN_WEIGHT * prompt.outputTokens;
 }
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -43,6 +43,8 @@
       readonly type: "refused";
       readonly reason: refusal.Reason;
       readonly retryAfterMs: number;
+      /** Server whose permit the request waited for; null for none. */
+      readonly awaitedServer: string | null;
     }
   | { readonly type: "left" };
 
@@ -158,7 +160,9 @@
       },
     );
     if (maxWaitMs <= 0) {
-      return Promise.resolve({ type: "refused", reason, retryAfterMs });
+      return Promise.resolve({
+        ...{ type: "refused", reason, retryAfterMs, awaitedServer: null },
+      });
     }
     if (callerLeft.aborted) return Promise.resolve({ type: "left" });
     return new Promise((resolve) => {
@@ -353,8 +357,12 @@
   }
 
   #refuse(pending: Request): void {
-    const retryAfterMs = refusal.retryDelayMs(pending.demand);
-    this.#settle(pending, { type: "refused", reason: "no-room", retryAfterMs });
+    const { state, demand } = pending;
+    this.#settle(pending, {
+      ...{ type: "refused", reason: "no-room" },
+      retryAfterMs: refusal.retryDelayMs(demand),
+      awaitedServer: state.type === "awaiting-permit" ? state.server : null,
+    });
   }
 
   /**
