--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -46,6 +46,8 @@
 const DRAIN_CHECK_INTERVAL_MS = 20;
 /** Interval of the log lines that tell what became of each team's requests. */
 const TEAM_LOG_INTERVAL_MS = 1_000;
+/** Fingerprints in the log line of a crash. */
+const LOGGED_FINGERPRINTS = 8;
 /** Teams per interval that are logged. */
 const LOGGED_TEAMS = 8;
 const DIRECTORY_SWEEP_INTERVAL_MS = 100;
@@ -253,7 +255,9 @@
     this.#quarantine.strike(strike);
     this.#admissionClients.sendStrike(strike);
     const { crash, fingerprints } = strike;
-    this.#events.warn("server-crashed", { crash, ran: fingerprints.length });
+    const ran = fingerprints.length;
+    const requests = fingerprints.slice(0, LOGGED_FINGERPRINTS).join(" ");
+    this.#events.warn("server-crashed", { crash, ran, requests });
   }
 
   #handleAdmissionChange(): void {
--- a/src/direct/exchange.ts
+++ b/src/direct/exchange.ts
@@ -150,7 +150,10 @@
     const { clock, retryBudget } = this.#deps;
     const { route, service, deadlineAtMs } = admitted;
     retryBudget.recordRequest(service);
-    if (this.#isQuarantined(admitted)) {
+    const fingerprint = this.#quarantinedFingerprint(admitted);
+    if (fingerprint !== null) {
+      const request = this.#record.logFields.id;
+      this.#deps.events.info("quarantined", { request, fingerprint });
       const sentence = "Quarantined: the request crashed several servers";
       const retryAfterMs = QUARANTINE_RETRY_AFTER_MS;
       this.#fail(notRun(503, "quarantined", { sentence, retryAfterMs }));
@@ -181,10 +184,12 @@
     return await this.#send(admitted, decision);
   }
 
-  #isQuarantined(admitted: AdmittedRequest): boolean {
+  /** The request's fingerprint if it is quarantined; null if it isn't. */
+  #quarantinedFingerprint(admitted: AdmittedRequest): string | null {
     const { quarantine } = this.#deps;
-    if (quarantine.size === 0) return false;
-    return quarantine.trust(this.#fingerprint(admitted)) === "refused";
+    if (quarantine.size === 0) return null;
+    const fingerprint = this.#fingerprint(admitted);
+    return quarantine.trust(fingerprint) === "refused" ? fingerprint : null;
   }
 
   #fingerprint({ team, body }: AdmittedRequest): string {
@@ -265,13 +270,25 @@
     const result = await relay.run(request, this.#cancel.signal);
     pool.release(server, connection);
     placement.release(outcomeOf(result));
-    if (result.type === "broken") {
-      const fingerprint = this.#fingerprint(admitted);
-      this.#deps.crashDetector.recordBroken(server, fingerprint);
-    }
+    if (result.type === "broken")
+      this.#recordBroken(admitted, server, result.reason);
     return this.#handleSendResult(admitted, result);
   }
 
+  #recordBroken(
+    admitted: AdmittedRequest,
+    server: BackendServer,
+    reason: string,
+  ): void {
+    const { events, crashDetector } = this.#deps;
+    const fingerprint = this.#fingerprint(admitted);
+    events.warn("response-broken", {
+      ...{ request: this.#record.logFields.id, fingerprint },
+      ...{ server: server.id, reason },
+    });
+    crashDetector.recordBroken(server, fingerprint);
+  }
+
   /** No timeout for requests that may not be repeated on another server. */
   #silenceTimeoutMs(admitted: AdmittedRequest): number | null {
     if (!this.#isRepeatable(admitted)) return null;
