--- a/tests/direct/fixture.ts
+++ b/tests/direct/fixture.ts
@@ -87,8 +87,9 @@
   router: DirectRouter,
   id: string,
   port: number,
+  { startedAtMs = 0 }: { readonly startedAtMs?: number } = {},
 ): void {
-  const options = { id, host: "127.0.0.1", port, slots: 8 };
+  const options = { id, host: "127.0.0.1", port, slots: 8, startedAtMs };
   router.directory.put(createServer(options));
 }
 
