Count a crash whose server gets no other request

What callers saw: a request that crashes each server that runs it was sent on and on.

Cause: a broken response counted as a crash only if the same router failed to connect to that server within a second, and nothing made it try. Class: a conclusion that waits for unrelated traffic.

A server whose entry lapses or shows a restart around a broken response counts as well, whichever is seen first. A request is checked again after it has waited for a server.

Looked for elsewhere: side processes (src/side_process/runner.ts) ask the server's health endpoint at once; nothing to mend there.

--- a/src/direct/connection_pool.ts
+++ b/src/direct/connection_pool.ts
@@ -32,6 +32,13 @@
       if (connection.usable) return ok({ connection, reused: true });
       connection.destroy();
     }
+    return this.open(server);
+  }
+
+  /** Opens a connection even if one is idle; returns why that fails. */
+  async open(
+    server: BackendServer,
+  ): Promise<Result<AcquiredConnection, string>> {
     this.#connectAttempts += 1;
     const opened = await BackendConnection.open(server);
     return opened.map((connection) => ({ connection, reused: false }));
--- a/src/direct/crash_detector.ts
+++ b/src/direct/crash_detector.ts
@@ -2,7 +2,8 @@
  * Detects crashes of backend servers and the requests that ran then.
  *
  * A broken response alone is no proof, because networks reset connections too.
- * It counts as a crash if the server is unreachable soon after.
+ * It counts as a crash if the server is unreachable soon after, or if its entry
+ * shows, soon before or after, that it has ended.
  */
 
 import type { Clock } from "../common/clock.ts";
@@ -14,6 +15,12 @@
  * as crashed.
  */
 const CRASH_WINDOW_MS = 1_000;
+/**
+ * A server whose entry is gone or shows a restart within this time of a broken
+ * response counts as crashed: an entry lapses after three intervals
+ * without a sign of life, some 4 s, and the registry reports it a little later.
+ */
+const LAPSE_WINDOW_MS = 6_000;
 
 interface BrokenResponse {
   readonly fingerprint: string;
@@ -24,18 +31,27 @@
 export class CrashDetector {
   readonly #clock: Clock;
   readonly #broken = new Map<string, BrokenResponse[]>();
+  /** When servers ended that weren't draining, by start. */
+  readonly #ended = new Map<string, number>();
 
   constructor(clock: Clock) {
     this.#clock = clock;
   }
 
-  /** Records a request whose response broke off. */
-  recordBroken(server: BackendServer, fingerprint: string): void {
+  /**
+   * Records a request whose response broke off. Returns the crash if the server
+   * is known to have ended.
+   */
+  recordBroken(server: BackendServer, fingerprint: string): Strike | null {
+    const crash = startKeyOf(server);
+    if (this.#ended.has(crash))
+      return { type: "strike", crash, fingerprints: [fingerprint] };
     const atMs = this.#clock.monotonicMs();
-    this.#broken.set(startKeyOf(server), [
-      ...this.#recent(server),
+    this.#broken.set(crash, [
+      ...this.#recent(server, LAPSE_WINDOW_MS),
       { fingerprint, atMs },
     ]);
+    return null;
   }
 
   /**
@@ -43,19 +59,47 @@
    * that ran then; null if no response has recently broken off.
    */
   recordUnreachable(server: BackendServer): Strike | null {
-    const fingerprints = this.#recent(server).map((one) => one.fingerprint);
-    this.#broken.delete(startKeyOf(server));
-    if (fingerprints.length === 0) return null;
-    return { type: "strike", crash: startKeyOf(server), fingerprints };
+    return this.#take(server, CRASH_WINDOW_MS);
+  }
+
+  /** Records that a server has joined the directory, perhaps again. */
+  recordJoined(server: BackendServer): void {
+    this.#ended.delete(startKeyOf(server));
   }
 
-  /** Removes a server that has left. */
-  forget(server: BackendServer): void {
-    this.#broken.delete(startKeyOf(server));
+  /**
+   * Records that a server has left the directory. Returns the crash and the
+   * requests that ran then; null if it was draining, or if no response has
+   * recently broken off.
+   */
+  recordLeft(server: BackendServer): Strike | null {
+    const strike = this.#take(server, LAPSE_WINDOW_MS);
+    if (server.state === "draining") return null;
+    this.#recordEnd(server);
+    return strike;
+  }
+
+  #recordEnd(server: BackendServer): void {
+    const nowMs = this.#clock.monotonicMs();
+    for (const [start, atMs] of this.#ended) {
+      if (atMs <= nowMs - LAPSE_WINDOW_MS) this.#ended.delete(start);
+    }
+    this.#ended.set(startKeyOf(server), nowMs);
+  }
+
+  /** Takes the responses that broke off within `windowMs`. */
+  #take(server: BackendServer, windowMs: number): Strike | null {
+    const crash = startKeyOf(server);
+    const fingerprints = this.#recent(server, windowMs).map(
+      (one) => one.fingerprint,
+    );
+    this.#broken.delete(crash);
+    if (fingerprints.length === 0) return null;
+    return { type: "strike", crash, fingerprints };
   }
 
-  #recent(server: BackendServer): BrokenResponse[] {
-    const afterMs = this.#clock.monotonicMs() - CRASH_WINDOW_MS;
+  #recent(server: BackendServer, windowMs: number): BrokenResponse[] {
+    const afterMs = this.#clock.monotonicMs() - windowMs;
     const broken = this.#broken.get(startKeyOf(server)) ?? [];
     return broken.filter(({ atMs }) => atMs > afterMs);
   }
--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -4,7 +4,7 @@
 import { systemClock } from "../common/clock.ts";
 import type { EventLog } from "../common/event_log.ts";
 import { sleep } from "../common/promises.ts";
-import { ServerDirectory } from "../directory/mod.ts";
+import { type BackendServer, ServerDirectory } from "../directory/mod.ts";
 import { TeamTally } from "../fairness/mod.ts";
 import * as metrics from "../metrics/mod.ts";
 import type { Strike } from "../protocol/mod.ts";
@@ -17,6 +17,7 @@
 import { ConfigurationState } from "./configuration_state.ts";
 import { ConnectionPool } from "./connection_pool.ts";
 import { CrashDetector } from "./crash_detector.ts";
+import { CrashProbe } from "./crash_probe.ts";
 import type { Dialect } from "./dialect.ts";
 import { MonitoringEndpoint } from "./monitoring_endpoint.ts";
 import { RetryBudget, type RetryLimits } from "./retry_budget.ts";
@@ -71,6 +72,14 @@
     strikesLimit: QUARANTINE_STRIKES,
   });
   readonly #crashDetector = new CrashDetector(systemClock);
+  readonly #crashProbe = new CrashProbe({
+    pool: this.#pool,
+    onUnreachable: (server, reason) => {
+      const fields = { request: null, server: server.id, reason };
+      this.#events.warn("server-unreachable", fields);
+      this.#handleUnreachable(server);
+    },
+  });
   readonly #callerServer: CallerServer;
   readonly #readyEndpoint: MonitoringEndpoint;
   readonly #metricsEndpoint: MonitoringEndpoint;
@@ -115,11 +124,12 @@
       pool: this.#pool,
       retryBudget: this.#retryBudget,
       quarantine: this.#quarantine,
-      crashDetector: this.#crashDetector,
       metrics: this.#metrics,
       teamTally: this.#teamTally,
       callerWaits: new CallerWaitEstimator(),
-      onServerCrash: (strike) => this.#handleCrash(strike),
+      onBroken: (server, fingerprint) =>
+        this.#handleBroken(server, fingerprint),
+      onUnreachable: (server) => this.#handleUnreachable(server),
     });
     const sources = {
       ready: () => this.#isReady(),
@@ -234,10 +244,12 @@
       const fields = { change: change.type, server: id, service, state };
       this.#events.info("server", fields);
       this.#scheduler.apply(change);
+      if (change.type === "joined")
+        this.#crashDetector.recordJoined(change.server);
       if (change.type !== "left") return;
       this.#pool.closeIdle(change.server);
       this.#admissionClients.removeServer(change.server);
-      this.#crashDetector.forget(change.server);
+      this.#handleCrash(this.#crashDetector.recordLeft(change.server));
     });
   }
 
@@ -251,7 +263,18 @@
       this.#events.info("team-load", { team, ...counts });
   }
 
-  #handleCrash(strike: Strike): void {
+  #handleBroken(server: BackendServer, fingerprint: string): void {
+    const strike = this.#crashDetector.recordBroken(server, fingerprint);
+    if (strike === null) void this.#crashProbe.probe(server);
+    else this.#handleCrash(strike);
+  }
+
+  #handleUnreachable(server: BackendServer): void {
+    this.#handleCrash(this.#crashDetector.recordUnreachable(server));
+  }
+
+  #handleCrash(strike: Strike | null): void {
+    if (strike === null) return;
     this.#quarantine.strike(strike);
     this.#admissionClients.sendStrike(strike);
     const { crash, fingerprints } = strike;
--- a/src/direct/exchange.ts
+++ b/src/direct/exchange.ts
@@ -7,7 +7,6 @@
 import type { BackendServer } from "../directory/mod.ts";
 import type { TeamTally } from "../fairness/mod.ts";
 import type { MetricsRegistry } from "../metrics/registry.ts";
-import type { Strike } from "../protocol/mod.ts";
 import { fingerprintOf, type Quarantine } from "../quarantine/mod.ts";
 import {
   deadlinePassed,
@@ -33,7 +32,6 @@
 import type { CallerWaitEstimator } from "./caller_wait_estimator.ts";
 import type { ConfigurationState } from "./configuration_state.ts";
 import type { ConnectionPool } from "./connection_pool.ts";
-import type { CrashDetector } from "./crash_detector.ts";
 import type { Dialect } from "./dialect.ts";
 import { EventSplitter } from "./event_splitter.ts";
 import { Relay, type SendResult } from "./relay.ts";
@@ -60,12 +58,13 @@
   readonly pool: ConnectionPool;
   readonly retryBudget: RetryBudget;
   readonly quarantine: Quarantine;
-  readonly crashDetector: CrashDetector;
   readonly metrics: MetricsRegistry;
   readonly teamTally: TeamTally;
   readonly callerWaits: CallerWaitEstimator;
-  /** Called when this router detects that a server has crashed. */
-  onServerCrash(strike: Strike): void;
+  /** Called when a response of a server has broken off. */
+  onBroken(server: BackendServer, fingerprint: string): void;
+  /** Called when no connection to a server can be opened. */
+  onUnreachable(server: BackendServer): void;
 }
 
 /** How an unread request is refused. */
@@ -89,6 +88,7 @@
   readonly #triedServers = new Set<string>();
   #splitter: EventSplitter | null = null;
   readonly #record: RequestRecord;
+  #cachedFingerprint: string | null = null;
   #connectFailures = 0;
   #mayHaveRun = false;
 
@@ -150,15 +150,7 @@
     const { clock, retryBudget } = this.#deps;
     const { route, service, deadlineAtMs } = admitted;
     retryBudget.recordRequest(service);
-    const fingerprint = this.#quarantinedFingerprint(admitted);
-    if (fingerprint !== null) {
-      const request = this.#record.logFields.id;
-      this.#deps.events.info("quarantined", { request, fingerprint });
-      const sentence = "Quarantined: the request crashed several servers";
-      const retryAfterMs = QUARANTINE_RETRY_AFTER_MS;
-      this.#fail(notRun(503, "quarantined", { sentence, retryAfterMs }));
-      return;
-    }
+    if (this.#refuseIfQuarantined(admitted)) return;
     this.#splitter =
       route.repetition === "resumable" ? new EventSplitter() : null;
     const remainingMs = deadlineAtMs - clock.monotonicMs();
@@ -180,21 +172,37 @@
     const demand = this.#demand(admitted);
     const decision = await scheduler.place(demand, this.#cancel.signal);
     if (decision.type !== "placed") return this.#handleUnplaced(decision);
+    // Its last crash may have been found while it waited.
+    if (this.#refuseIfQuarantined(admitted)) {
+      decision.release("neutral");
+      return DONE;
+    }
     this.#record.recordPlacement(decision);
     return await this.#send(admitted, decision);
   }
 
-  /** The request's fingerprint if it is quarantined; null if it isn't. */
-  #quarantinedFingerprint(admitted: AdmittedRequest): string | null {
-    const { quarantine } = this.#deps;
-    if (quarantine.size === 0) return null;
+  /** Refuses the request and returns true if it is quarantined. */
+  #refuseIfQuarantined(admitted: AdmittedRequest): boolean {
+    const { quarantine, events } = this.#deps;
+    if (quarantine.size === 0) return false;
     const fingerprint = this.#fingerprint(admitted);
-    return quarantine.trust(fingerprint) === "refused" ? fingerprint : null;
+    if (quarantine.trust(fingerprint) !== "refused") return false;
+    const request = this.#record.logFields.id;
+    events.info("quarantined", { request, fingerprint });
+    const sentence = "Quarantined: the request crashed several servers";
+    const retryAfterMs = QUARANTINE_RETRY_AFTER_MS;
+    this.#fail(
+      this.#mayHaveRun || this.#response.hasStarted
+        ? outcomeUnknown("quarantined", sentence)
+        : notRun(503, "quarantined", { sentence, retryAfterMs }),
+    );
+    return true;
   }
 
   #fingerprint({ team, body }: AdmittedRequest): string {
     const path = this.#request.url ?? "/";
-    return fingerprintOf({ team: team ?? "", path, body });
+    this.#cachedFingerprint ??= fingerprintOf({ team: team ?? "", path, body });
+    return this.#cachedFingerprint;
   }
 
   #demand(admitted: AdmittedRequest): Demand {
@@ -280,13 +288,13 @@
     server: BackendServer,
     reason: string,
   ): void {
-    const { events, crashDetector } = this.#deps;
+    const { events } = this.#deps;
     const fingerprint = this.#fingerprint(admitted);
     events.warn("response-broken", {
       ...{ request: this.#record.logFields.id, fingerprint },
       ...{ server: server.id, reason },
     });
-    crashDetector.recordBroken(server, fingerprint);
+    this.#deps.onBroken(server, fingerprint);
   }
 
   /** No timeout for requests that may not be repeated on another server. */
@@ -323,15 +331,14 @@
   }
 
   #handleConnectFailure(server: BackendServer, reason: string): Step {
-    const { events, crashDetector } = this.#deps;
+    const { events, onUnreachable } = this.#deps;
     const fields = {
       request: this.#record.logFields.id,
       server: server.id,
       reason,
     };
     events.warn("server-unreachable", fields);
-    const strike = crashDetector.recordUnreachable(server);
-    if (strike !== null) this.#deps.onServerCrash(strike);
+    onUnreachable(server);
     this.#connectFailures += 1;
     if (this.#connectFailures < CONNECT_FAILURE_LIMIT) return RETRY;
     this.#fail(
--- a/tests/direct/parts_test.ts
+++ b/tests/direct/parts_test.ts
@@ -104,6 +104,29 @@
   assert.equal(detector.recordUnreachable(createServer()), null);
 });
 
+test("a broken response is a crash if the server's entry lapses soon", () => {
+  const clock = createManualClock();
+  const detector = new CrashDetector(clock);
+  const server = createServer();
+  detector.recordBroken(server, "f1");
+  clock.advance(4_500);
+  assert.deepEqual(detector.recordLeft(server)?.fingerprints, ["f1"]);
+  assert.deepEqual(detector.recordBroken(server, "f2")?.fingerprints, ["f2"]);
+});
+
+test("a broken response is no crash if the server drains or comes back", () => {
+  const clock = createManualClock();
+  const detector = new CrashDetector(clock);
+  const draining = createServer({ state: "draining" });
+  detector.recordBroken(draining, "f1");
+  assert.equal(detector.recordLeft(draining), null);
+  assert.equal(detector.recordBroken(draining, "f2"), null);
+  const lapsed = createServer({ id: "s2" });
+  assert.equal(detector.recordLeft(lapsed), null);
+  detector.recordJoined(lapsed);
+  assert.equal(detector.recordBroken(lapsed, "f3"), null);
+});
+
 test("the event log drops lines when its reader has stopped", () => {
   const written: string[] = [];
   const log = new EventLog("test", (text) => written.push(text));
