--- a/src/admission/admission_process.ts
+++ b/src/admission/admission_process.ts
@@ -151,7 +151,8 @@
   /** Logs the largest teams of an interval in which requests were withdrawn. */
   #logTeams(): void {
     const { teamTally, recentUsage } = this.#controller;
-    const isLogged = teamTally.has("withdrawn");
+    const isLogged =
+      teamTally.has("withdrawn") || teamTally.has("withdrawnLate");
     const teams = teamTally.take(LOGGED_TEAMS);
     if (!isLogged) return;
     for (const { team, counts } of teams) {
--- a/src/admission/controller.ts
+++ b/src/admission/controller.ts
@@ -26,7 +26,11 @@
   SMALLEST_SAMPLE_TOKENS,
   type work,
 } from "../scheduling/mod.ts";
-import { AdmissionQueue, type PermitReceiver } from "./admission_queue.ts";
+import {
+  AdmissionQueue,
+  type PermitReceiver,
+  type QueuedRequest,
+} from "./admission_queue.ts";
 import { classifyEngine, type EngineState } from "./engine_state.ts";
 import { TokenBucket } from "./token_bucket.ts";
 
@@ -156,9 +160,8 @@
   /** Removes a request from the queue. */
   withdraw(router: PermitReceiver, ask: number): void {
     this.#queue.removeWhere((queued) => {
-      const { request } = queued;
-      const matches = queued.router === router && request.ask === ask;
-      if (matches) this.teamTally.add(request.team, "withdrawn", request.cost);
+      const matches = queued.router === router && queued.request.ask === ask;
+      if (matches) this.#count(queued, "withdrawn");
       return matches;
     });
     this.admitQueued();
@@ -217,15 +220,23 @@
       const uncachedTokens = this.#countUncachedTokens(next.request);
       if (!this.#hasCapacity(next.request, uncachedTokens)) return;
       this.#queue.remove(next);
-      const { team, cost } = next.request;
-      this.recentUsage.add(team, cost);
-      this.teamTally.add(team, "permitted", cost);
+      this.recentUsage.add(next.request.team, next.request.cost);
+      this.#count(next, "permitted");
       this.#tokenBucket.spend(uncachedTokens);
       this.#startRun(next.router, next.request, uncachedTokens);
       next.router.permit(next.request.ask, uncachedTokens);
     }
   }
 
+  #count(
+    { request, dueAtMs }: QueuedRequest,
+    outcome: "permitted" | "withdrawn",
+  ): void {
+    const isLate = this.#clock.monotonicMs() >= dueAtMs;
+    const field = isLate ? `${outcome}Late` : outcome;
+    this.teamTally.add(request.team, field, request.cost);
+  }
+
   #hasCapacity(request: PermitRequest, uncachedTokens: number): boolean {
     if (this.#configuration === null) return false;
     if (
