--- a/tests/admission/controller_test.ts
+++ b/tests/admission/controller_test.ts
@@ -172,11 +172,17 @@
 
 /**
  * Simulates 10 s in which the team "flood" sends a request every `intervalMs`
- * through one router, and the team "calm" its share through a second one. The
- * engine prefills at its rate, and each request runs for another 200 ms.
+ * through one router, and the team "calm" its share through a second one, with
+ * `calmLeftMs` until each is due. The engine prefills at its rate, and each request runs for another 200 ms.
  * Returns how many requests of each team were served.
  */
-function simulateFlood({ intervalMs }: { readonly intervalMs: number }) {
+function simulateFlood({
+  intervalMs,
+  calmLeftMs = 1_000,
+}: {
+  readonly intervalMs: number;
+  readonly calmLeftMs?: number;
+}) {
   const { clock, controller } = createController();
   const served = new Map<string, number>();
   const running: { done: () => void; endsAtMs: number }[] = [];
@@ -212,7 +218,8 @@
     }
     if (ms % intervalMs === 0)
       controller.enqueue(flood, createRequest("flood"));
-    if (ms % 200 === 0) controller.enqueue(calm, createRequest("calm"));
+    if (ms % 200 !== 0) continue;
+    controller.enqueue(calm, createRequest("calm", { leftMs: calmLeftMs }));
   }
   return { flood: served.get("flood") ?? 0, calm: served.get("calm") ?? 0 };
 }
@@ -224,6 +231,11 @@
   assert.ok(flood >= 35, `capacity was left idle: flood was served ${flood}`);
 });
 
+test("a team whose callers come back late keeps half of its share", () => {
+  const { calm } = simulateFlood({ intervalMs: 20, calmLeftMs: -1_000 });
+  assert.ok(calm >= 25, `calm team was served ${calm} of 50`);
+});
+
 test("capacity that one team leaves unused goes to the other", () => {
   const { flood, calm } = simulateFlood({ intervalMs: 50 });
   assert.ok(flood + calm >= 90, `${flood + calm} of about 100 were served`);
