Let late requests of a team keep its share of an engine

Cause: an admission controller ranked requests past their due time behind all others, of whatever team. Callers that were refused (by an overloaded router, Retry-After 2 to 3 s, or after 0.6 of the objective without a permit) come back late. A team that had once been refused so lost to every team that had not, however much those had got. Class: an ordering for latency that stands above the one for fairness.

Fix: teams go by usage; a team all of whose requests at the engine are late counts with 1.5 times its usage. Within a team requests on time still go first, and between teams of like usage as well. So the team gets two thirds of what the others get at least, and the rest of the capacity goes to requests that can be on time.

--- a/src/admission/admission_queue.ts
+++ b/src/admission/admission_queue.ts
@@ -27,6 +27,13 @@
   recentUsageOf(team: string): number;
 }
 
+/**
+ * Factor on the usage of a team whose requests are all past their due time. A
+ * late response is worth less to its caller, so a team with on-time requests
+ * goes first, but only up to this multiple of the late team's usage.
+ */
+const LATE_USAGE_FACTOR = 1.5;
+
 /** One queue per team, each ordered by due time, earliest first. */
 export class AdmissionQueue {
   readonly #queuesByTeam = new Map<string, QueuedRequest[]>();
@@ -65,21 +72,24 @@
   }
 
   /**
-   * Returns the earliest due request of the team with the least recent
-   * usage, or null when none waits. Requests that are past their due time
-   * come after all others: serving them first would make other requests late
-   * too.
+   * Returns the earliest due request of the team with the least recent usage,
+   * or null when none waits. Within a team, requests that are past their due
+   * time come after all others: serving them first would make those late too.
+   * Between teams they don't: callers that are refused come back late, so a
+   * team that was refused once would lose to every team that wasn't.
    */
   next({ nowMs, recentUsageOf }: SelectionContext): QueuedRequest | null {
     let next: QueuedRequest | null = null;
-    let nextRank: readonly [number, number] = [2, 0];
+    let nextRank: Rank | null = null;
     for (const [team, queue] of this.#queuesByTeam) {
       const onTime = queue.find(({ dueAtMs }) => dueAtMs > nowMs);
       const candidate = onTime ?? queue[0];
       if (candidate === undefined) continue;
+      const isLate = onTime === undefined;
       const usage = candidate.request.elsewhere + recentUsageOf(team);
-      const rank = [onTime === undefined ? 1 : 0, usage] as const;
-      if (!isBefore(rank, nextRank)) continue;
+      const weightedUsage = usage * (isLate ? LATE_USAGE_FACTOR : 1);
+      const rank = { weightedUsage, isLate };
+      if (nextRank !== null && !isBefore(rank, nextRank)) continue;
       next = candidate;
       nextRank = rank;
     }
@@ -95,10 +105,15 @@
   }
 }
 
-/** Compares ranks: on-time requests first, then by usage, least first. */
-function isBefore(
-  [late, usage]: readonly [number, number],
-  [otherLate, otherUsage]: readonly [number, number],
-): boolean {
-  return late === otherLate ? usage < otherUsage : late < otherLate;
+/** Place of a team's request among those of the other teams. */
+interface Rank {
+  readonly weightedUsage: number;
+  readonly isLate: boolean;
+}
+
+/** Compares ranks: least usage first; at the same usage, on-time first. */
+function isBefore(rank: Rank, other: Rank): boolean {
+  if (rank.weightedUsage !== other.weightedUsage)
+    return rank.weightedUsage < other.weightedUsage;
+  return !rank.isLate && other.isLate;
 }
