Let an overloaded router refuse by team instead of by arrival

What callers saw: while a router is overloaded, it refused whoever came when its limit was reached.

Cause: the concurrency limit didn't know teams. Class: a refusal that doesn't follow the order in which the queue behind it serves.

Fix: when the limit is reached, a request of a team that has got less than two thirds of what the best-served team has at this router is still served, up to twice the limit; the limit itself goes on falling while connections wait. Requests without a team are refused as before.

--- a/src/common/concurrency_limit.ts
+++ b/src/common/concurrency_limit.ts
@@ -13,6 +13,13 @@
 const DECREASE_FACTOR = 0.7;
 /** Growth of the limit per other interval, as a share of it; 1 at least. */
 const INCREASE_SHARE = 0.2;
+/**
+ * Bound of the requests in progress of teams below their share, as a multiple
+ * of the limit. The requests of other teams fill the limit by order of arrival;
+ * without room beyond it, a team would get no more than its part of what
+ * arrives, however little it asks for.
+ */
+const SHARE_LIMIT_FACTOR = 2;
 /** Some requests are served under any load. */
 const MIN_LIMIT = 4;
 /** Time for which an overloaded server isn't ready the first time. */
@@ -83,11 +90,16 @@
   /**
    * Admits a new request, which has to be released at its end, or returns false
    * if the limit is reached.
+   *
+   * @param isBelowShare whether the request's team has got less than its share;
+   *   called only if the limit is reached
    */
-  acquire(): boolean {
-    if (this.#inProgress >= this.value) return false;
-    this.#inProgress += 1;
-    return true;
+  acquire(isBelowShare: () => boolean = () => false): boolean {
+    const isAdmitted =
+      this.#inProgress < this.value ||
+      (this.#inProgress < this.value * SHARE_LIMIT_FACTOR && isBelowShare());
+    if (isAdmitted) this.#inProgress += 1;
+    return isAdmitted;
   }
 
   /** Releases a request that was admitted. */
--- a/src/common/overload_guard.ts
+++ b/src/common/overload_guard.ts
@@ -9,6 +9,13 @@
 /** What to do with a request; `left`: its caller has disconnected. */
 export type Verdict = "serve" | "refuse" | "left";
 
+/** What a decision depends on; both are called when it is made. */
+export interface ArrivedRequest {
+  isDisconnected(): boolean;
+  /** Whether its team has got less than its share. */
+  isBelowShare(): boolean;
+}
+
 /** Decides for each request of one server whether it is served. */
 export class OverloadGuard {
   readonly #queue: AcceptQueue;
@@ -44,7 +51,7 @@
   }
 
   /** Decides on a request that has arrived. Call `release` if it is served. */
-  async judge(isDisconnected: () => boolean): Promise<Verdict> {
+  async judge(request: ArrivedRequest): Promise<Verdict> {
     const { standingMs, accepted } = this.#queue;
     this.#limit.observe({ standingMs, accepted });
     if (standingMs >= MAX_WAIT_MS) {
@@ -53,8 +60,9 @@
       await nextTurn();
       await nextTurn();
     }
-    if (isDisconnected()) return "left";
-    return this.#limit.acquire() ? "serve" : "refuse";
+    if (request.isDisconnected()) return "left";
+    const isAdmitted = this.#limit.acquire(() => request.isBelowShare());
+    return isAdmitted ? "serve" : "refuse";
   }
 
   /** Tells that a request which was served has ended. */
--- a/src/direct/caller_server.ts
+++ b/src/direct/caller_server.ts
@@ -127,7 +127,10 @@
 
   async #runUnlessOverloaded(exchange: Exchange): Promise<void> {
     const { response } = exchange;
-    const verdict = await this.#guard.judge(() => response.isDisconnected);
+    const verdict = await this.#guard.judge({
+      isDisconnected: () => response.isDisconnected,
+      isBelowShare: () => exchange.isBelowShare,
+    });
     switch (verdict) {
       case "serve":
         await exchange.run().finally(() => this.#guard.release());
--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -5,7 +5,7 @@
 import type { EventLog } from "../common/event_log.ts";
 import { sleep } from "../common/promises.ts";
 import { type BackendServer, ServerDirectory } from "../directory/mod.ts";
-import { TeamTally } from "../fairness/mod.ts";
+import { TeamShares, TeamTally } from "../fairness/mod.ts";
 import * as metrics from "../metrics/mod.ts";
 import type { Strike } from "../protocol/mod.ts";
 import { Quarantine } from "../quarantine/mod.ts";
@@ -126,6 +126,7 @@
       quarantine: this.#quarantine,
       metrics: this.#metrics,
       teamTally: this.#teamTally,
+      teamShares: new TeamShares(clock),
       callerWaits: new CallerWaitEstimator(),
       onBroken: (server, fingerprint) =>
         this.#handleBroken(server, fingerprint),
--- a/src/direct/exchange.ts
+++ b/src/direct/exchange.ts
@@ -5,7 +5,7 @@
 import type { Clock } from "../common/clock.ts";
 import type { EventLog } from "../common/event_log.ts";
 import type { BackendServer } from "../directory/mod.ts";
-import type { TeamTally } from "../fairness/mod.ts";
+import type { TeamShares, TeamTally } from "../fairness/mod.ts";
 import type { MetricsRegistry } from "../metrics/registry.ts";
 import { fingerprintOf, type Quarantine } from "../quarantine/mod.ts";
 import {
@@ -60,6 +60,7 @@
   readonly quarantine: Quarantine;
   readonly metrics: MetricsRegistry;
   readonly teamTally: TeamTally;
+  readonly teamShares: TeamShares;
   readonly callerWaits: CallerWaitEstimator;
   /** Called when a response of a server has broken off. */
   onBroken(server: BackendServer, fingerprint: string): void;
@@ -108,6 +109,13 @@
     return this.#response;
   }
 
+  /** Whether its team has got less than its share at this router. */
+  get isBelowShare(): boolean {
+    this.#readTerms();
+    const { team } = this.#record.logFields;
+    return team !== null && this.#deps.teamShares.isBelowShare(team);
+  }
+
   /** Serves the request and logs its end. */
   async run(): Promise<void> {
     const admitted = await admit(this.#deps, this.#request, {
@@ -147,9 +155,12 @@
   }
 
   async #serve(admitted: AdmittedRequest): Promise<void> {
-    const { clock, retryBudget } = this.#deps;
+    const { clock, retryBudget, teamShares } = this.#deps;
     const { route, service, deadlineAtMs } = admitted;
     retryBudget.recordRequest(service);
+    if (admitted.team !== null) {
+      teamShares.add(admitted.team, costOf(admitted.terms));
+    }
     if (this.#refuseIfQuarantined(admitted)) return;
     this.#splitter =
       route.repetition === "resumable" ? new EventSplitter() : null;
