Show in tests that a store restored from a copy isn't noticed

The stand-in store can come back from a copy, with the next Store-Era. A watcher that polls after the new era has reached its revision misses what came before (10 s without the objects), and lost entries are not given time to be written again.

--- a/stand_ins/store/store.ts
+++ b/stand_ins/store/store.ts
@@ -18,6 +18,12 @@
 /** How the store answers: normally, with 503, or never. */
 export type ResponseMode = "serving" | "refusing" | "silent";
 
+/** Objects and revision of a store at one moment. */
+export interface StoreCopy {
+  readonly kinds: ReadonlyMap<string, ReadonlyMap<string, StoredObject>>;
+  readonly revision: number;
+}
+
 /** Objects by kind and name, with a history of changes for watches. */
 export class Store {
   responseMode: ResponseMode = "serving";
@@ -29,6 +35,8 @@
   #history: ChangeEvent[] = [];
   #compactedRevision = 0;
   #revision = 1;
+  /** Rises by one each time that the store comes back from a copy. */
+  #era = 1;
   readonly #watchers = new Set<() => void>();
 
   /** Creates or replaces an object. */
@@ -57,6 +65,28 @@
     this.#wakeWatchers();
   }
 
+  /** Returns a copy to restore later. */
+  copy(): StoreCopy {
+    const kinds = new Map(
+      [...this.#kinds].map(([kind, objects]) => [kind, new Map(objects)]),
+    );
+    return { kinds, revision: this.#revision };
+  }
+
+  /**
+   * Comes back from a copy: what was written since is lost, and its revisions
+   * are given out again. Watches that wait are cut off.
+   */
+  restore({ kinds, revision }: StoreCopy): void {
+    this.#kinds.clear();
+    for (const [kind, objects] of kinds)
+      this.#kinds.set(kind, new Map(objects));
+    this.#history = this.#history.filter((one) => one.revision <= revision);
+    this.#revision = revision;
+    this.#era += 1;
+    this.#wakeWatchers();
+  }
+
   /** Handles a list or watch call. */
   async handle(
     request: IncomingMessage,
@@ -66,6 +96,7 @@
     this.calls += 1;
     await readBody(request);
     if (this.responseMode === "silent") return;
+    response.setHeader("Store-Era", this.#era);
     if (this.responseMode === "refusing") {
       sendJson(response, 503, {});
       return;
@@ -97,9 +128,14 @@
     const waitMs = Number(url.searchParams.get("waitMs"));
     const find = () =>
       this.#history.filter((one) => one.kind === kind && one.revision > from);
-    if (from > this.#compactedRevision && find().length === 0)
-      await this.#waitForChange(waitMs);
-    if (from <= this.#compactedRevision) {
+    const era = this.#era;
+    const isKept = from > this.#compactedRevision && from <= this.#revision;
+    if (isKept && find().length === 0) await this.#waitForChange(waitMs);
+    if (this.#era !== era) {
+      response.destroy();
+      return;
+    }
+    if (!isKept || from <= this.#compactedRevision) {
       sendJson(response, 410, {});
       return;
     }
--- a/tests/on_platform/kind_watcher_test.ts
+++ b/tests/on_platform/kind_watcher_test.ts
@@ -117,6 +117,33 @@
   assert.deepEqual(calls, ["listed", "lost", "regained"]);
 });
 
+test("a store that comes back from a copy is listed anew", async () => {
+  store.put("servers", "a", {});
+  const copy = store.copy();
+  store.put("servers", "lost", {});
+  startWatcher();
+  await waitForObjects("a", "lost");
+  store.responseMode = "refusing";
+  await waitForCall("lost");
+  store.restore(copy);
+  // The first revision of the new era is the last one that the watcher knows.
+  for (const name of ["b", "c"]) store.put("servers", name, {});
+  store.responseMode = "serving";
+  await waitForObjects("a", "b", "c");
+});
+
+test("a store that comes back unnoticed has lost what it acknowledged", async () => {
+  store.put("servers", "a", {});
+  const copy = store.copy();
+  startWatcher();
+  await waitForObjects("a");
+  store.put("servers", "b", {});
+  await waitForObjects("a", "b");
+  store.restore(copy);
+  await waitForObjects("a");
+  assert.deepEqual(calls.slice(-3), ["lost", "regained", "listed"]);
+});
+
 test("a store that stops answering is reported as lost", async () => {
   startWatcher();
   await waitForCall("listed");
