Take a store that was restored from a copy as it is

Cause: the store may come back from a copy some seconds old and give out the same revisions again. A watch from a revision that the new era has reached answers with what came after it only, so what came before was missed for good; a version in a new era could also confirm keys with an older configuration, and servers that had left came back as ready.

The directory gives missing servers the grace period of an outage, keeps servers that had left out until their entry has outlasted the lapse of a dead server's, and never makes a draining server ready again.

Routers write nothing to the store and hold no leases here; admission controllers don't use it.

--- a/src/direct/crash_detector.ts
+++ b/src/direct/crash_detector.ts
@@ -7,7 +7,7 @@
  */
 
 import type { Clock } from "../common/clock.ts";
-import type { BackendServer } from "../directory/mod.ts";
+import { type BackendServer, startKeyOf } from "../directory/mod.ts";
 import type { Strike } from "../protocol/mod.ts";
 
 /**
@@ -104,8 +104,3 @@
     return broken.filter(({ atMs }) => atMs > afterMs);
   }
 }
-
-/** Key of one start of a server, which can only crash once. */
-function startKeyOf({ id, startedAtMs }: BackendServer): string {
-  return `${id} ${startedAtMs}`;
-}
--- a/src/directory/backend_server.ts
+++ b/src/directory/backend_server.ts
@@ -17,6 +17,11 @@
   readonly startedAtMs: number;
 }
 
+/** Key of one start of a server. */
+export function startKeyOf({ id, startedAtMs }: BackendServer): string {
+  return `${id} ${startedAtMs}`;
+}
+
 /** Whether two entries describe the same server without a restart between. */
 export function isSameStart(a: BackendServer, b: BackendServer): boolean {
   return (
--- a/tests/directory/server_directory_test.ts
+++ b/tests/directory/server_directory_test.ts
@@ -62,3 +62,51 @@
   directory.sweep();
   assert.deepEqual(changes, ["joined s1", "changed s1"]);
 });
+
+test("a server whose entry a restored registry has lost is kept for a while", () => {
+  const { clock, directory, changes } = createDirectory();
+  directory.put(createServer());
+  directory.noteRestore();
+  directory.replaceAll([]);
+  directory.put(createServer());
+  clock.advance(REGISTRATION_GRACE_MS);
+  directory.sweep();
+  assert.deepEqual(changes, ["joined s1", "changed s1"]);
+});
+
+test("a server that had left doesn't come back from a restored entry", () => {
+  const { clock, directory, changes } = createDirectory();
+  directory.put(createServer());
+  directory.remove("s1");
+  clock.advance(1_000);
+  directory.noteRestore();
+  directory.replaceAll([createServer()]);
+  clock.advance(4_000);
+  directory.sweep();
+  directory.remove("s1");
+  clock.advance(10_000);
+  directory.sweep();
+  assert.deepEqual(changes, ["joined s1", "left s1"]);
+});
+
+test("a server whose restored entry doesn't lapse comes back", () => {
+  const { clock, directory, changes } = createDirectory();
+  directory.put(createServer());
+  directory.remove("s1");
+  clock.advance(1_000);
+  directory.noteRestore();
+  directory.replaceAll([createServer()]);
+  clock.advance(6_000);
+  directory.sweep();
+  assert.deepEqual(changes, ["joined s1", "left s1", "joined s1"]);
+});
+
+test("a server that drains isn't made ready by a restored entry", () => {
+  const { directory } = createDirectory();
+  const states: string[] = [];
+  directory.onChange(({ server }) => states.push(server.state));
+  directory.put(createServer({ state: "draining" }));
+  directory.noteRestore();
+  directory.replaceAll([createServer()]);
+  assert.deepEqual(states, ["draining", "draining"]);
+});
