--- a/src/direct/exchange.ts
+++ b/src/direct/exchange.ts
@@ -90,6 +90,7 @@
   #splitter: EventSplitter | null = null;
   readonly #record: RequestRecord;
   #cachedFingerprint: string | null = null;
+  #hasReadTerms = false;
   #connectFailures = 0;
   #mayHaveRun = false;
 
@@ -141,8 +142,10 @@
     this.#record.finish(this.#response.status);
   }
 
-  /** Reads what the log tells of a request that isn't served. */
+  /** Reads who sent a request that hasn't been admitted. */
   #readTerms(): void {
+    if (this.#hasReadTerms) return;
+    this.#hasReadTerms = true;
     const { dialect, configuration } = this.#deps;
     const { logFields } = this.#record;
     const terms = dialect.readRequest(this.#request.headers);
