End a process whose HTTP port is taken

Cause: the gateway library logs an error of its server to a logger that is off, and its start never returns. Change: the start of a broker fails when one of its servers does; the process says "Can't start: listen EADDRINUSE" and ends with 4. Both tests of tests/cli/taken_port_test.ts failed before (no output, no end in 10 s).

--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -117,7 +117,7 @@
     );
     void this.#configurationWatcher.run();
     void this.#instances.run((list) => this.#sideProcessPool.update(list));
-    await this.#broker.start();
+    await admin.startBroker(this.#broker);
     this.#noServerTimer = setInterval(
       () => this.#failServicesWithoutServer(),
       NO_SERVER_CHECK_MS,
--- a/src/side_process/side_process.ts
+++ b/src/side_process/side_process.ts
@@ -4,6 +4,7 @@
  */
 
 import type { ServiceBroker } from "moleculer";
+import * as admin from "../admin/mod.ts";
 import { systemClock } from "../common/clock.ts";
 import { Deadline } from "../common/deadline.ts";
 import { logger } from "../common/log.ts";
@@ -59,7 +60,7 @@
     dispatcher.setPaused(true);
     active.onAdopted(() => this.#announceVersion());
     await this.#listener.listen(this.#settings.link);
-    await this.#broker.start();
+    await admin.startBroker(this.#broker);
     void watcher.run();
     void instances.run((list) => this.#updateInstances(list));
     void this.#deps.healthMonitor.run();
