--- a/src/direct/crash_detector.ts
+++ b/src/direct/crash_detector.ts
@@ -7,7 +7,7 @@
  */
 
 import type { Clock } from "../common/clock.ts";
-import { type BackendServer, startKeyOf } from "../directory/mod.ts";
+import { type BackendServer, LAPSE_MS, startKeyOf } from "../directory/mod.ts";
 import type { Strike } from "../protocol/mod.ts";
 
 /**
@@ -15,12 +15,6 @@
  * as crashed.
  */
 const CRASH_WINDOW_MS = 1_000;
-/**
- * A server whose entry is gone or shows a restart within this time of a broken
- * response counts as crashed: an entry lapses after three intervals
- * without a sign of life, some 4 s, and the registry reports it a little later.
- */
-const LAPSE_WINDOW_MS = 6_000;
 
 interface BrokenResponse {
   readonly fingerprint: string;
@@ -48,7 +42,7 @@
       return { type: "strike", crash, fingerprints: [fingerprint] };
     const atMs = this.#clock.monotonicMs();
     this.#broken.set(crash, [
-      ...this.#recent(server, LAPSE_WINDOW_MS),
+      ...this.#recent(server, LAPSE_MS),
       { fingerprint, atMs },
     ]);
     return null;
@@ -73,7 +67,7 @@
    * recently broken off.
    */
   recordLeft(server: BackendServer): Strike | null {
-    const strike = this.#take(server, LAPSE_WINDOW_MS);
+    const strike = this.#take(server, LAPSE_MS);
     if (server.state === "draining") return null;
     this.#recordEnd(server);
     return strike;
@@ -82,7 +76,7 @@
   #recordEnd(server: BackendServer): void {
     const nowMs = this.#clock.monotonicMs();
     for (const [start, atMs] of this.#ended) {
-      if (atMs <= nowMs - LAPSE_WINDOW_MS) this.#ended.delete(start);
+      if (atMs <= nowMs - LAPSE_MS) this.#ended.delete(start);
     }
     this.#ended.set(startKeyOf(server), nowMs);
   }
--- a/src/directory/server_directory.ts
+++ b/src/directory/server_directory.ts
@@ -16,8 +16,12 @@
 /** Time in which live servers register again after a registry outage. */
 export const REGISTRATION_GRACE_MS = 2_000;
 
-/** Time after which a restored entry of a dead server has lapsed. */
-const LAPSE_MS = 6_000;
+/**
+ * Time within which the end of a server shows in the registry: its entry lapses
+ * after three intervals without a sign of life, some 4 s, and the registry
+ * reports that a little later.
+ */
+export const LAPSE_MS = 6_000;
 /** Time for which servers that have left are remembered. */
 const DEPARTED_MS = 60_000;
 
