--- a/src/fairness/team_tally.ts
+++ b/src/fairness/team_tally.ts
@@ -11,38 +11,35 @@
 
 /** Counts of the current interval; `take` starts the next one. */
 export class TeamTally {
-  readonly #countsByTeam = new Map<string, Record<string, number>>();
-  readonly #tokensByTeam = new Map<string, number>();
-  readonly #outcomes = new Set<string>();
+  readonly #byTeam = new Map<
+    string,
+    { tokens: number; readonly counts: Record<string, number> }
+  >();
 
   /** Counts a request of `tokens` prompt tokens. */
   add(team: string, outcome: string, tokens: number): void {
-    const counts = this.#countsByTeam.get(team) ?? {};
-    this.#countsByTeam.set(team, counts);
-    counts[outcome] = (counts[outcome] ?? 0) + 1;
+    const entry = this.#byTeam.get(team) ?? { tokens: 0, counts: {} };
+    this.#byTeam.set(team, entry);
+    const { counts } = entry;
     const tokensField = `${outcome}Tokens`;
+    counts[outcome] = (counts[outcome] ?? 0) + 1;
     counts[tokensField] = (counts[tokensField] ?? 0) + tokens;
-    const total = this.#tokensByTeam.get(team) ?? 0;
-    this.#tokensByTeam.set(team, total + tokens);
-    this.#outcomes.add(outcome);
+    entry.tokens += tokens;
   }
 
   /** Whether a request had this outcome in the interval. */
   has(outcome: string): boolean {
-    return this.#outcomes.has(outcome);
+    return [...this.#byTeam.values()].some(({ counts }) => outcome in counts);
   }
 
   /** Returns up to `limit` teams with the most tokens, and starts anew. */
   take(limit: number): TeamEntry[] {
-    const entries = [...this.#countsByTeam].map(([team, counts]) => ({
-      ...{ team, counts, tokens: this.#tokensByTeam.get(team) ?? 0 },
-    }));
-    entries.sort((a, b) => b.tokens - a.tokens);
-    this.#countsByTeam.clear();
-    this.#tokensByTeam.clear();
-    this.#outcomes.clear();
+    const entries = [...this.#byTeam].sort(
+      ([, a], [, b]) => b.tokens - a.tokens,
+    );
+    this.#byTeam.clear();
     return entries
       .slice(0, limit)
-      .map(({ team, counts }) => ({ team, counts }));
+      .map(([team, { counts }]) => ({ team, counts }));
   }
 }
