--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -19,6 +19,7 @@
 import { CrashDetector } from "./crash_detector.ts";
 import { CrashProbe } from "./crash_probe.ts";
 import type { Dialect } from "./dialect.ts";
+import type { ConnectFailure } from "./exchange.ts";
 import { MonitoringEndpoint } from "./monitoring_endpoint.ts";
 import { RetryBudget, type RetryLimits } from "./retry_budget.ts";
 import { type DirectRouterSettings, parseAddress } from "./settings.ts";
@@ -74,11 +75,8 @@
   readonly #crashDetector = new CrashDetector(systemClock);
   readonly #crashProbe = new CrashProbe({
     pool: this.#pool,
-    onUnreachable: (server, reason) => {
-      const fields = { request: null, server: server.id, reason };
-      this.#events.warn("server-unreachable", fields);
-      this.#handleUnreachable(server);
-    },
+    onUnreachable: (server, reason) =>
+      this.#handleUnreachable(server, { reason, request: null }),
   });
   readonly #callerServer: CallerServer;
   readonly #readyEndpoint: MonitoringEndpoint;
@@ -130,7 +128,8 @@
       callerWaits: new CallerWaitEstimator(),
       onBroken: (server, fingerprint) =>
         this.#handleBroken(server, fingerprint),
-      onUnreachable: (server) => this.#handleUnreachable(server),
+      onUnreachable: (server, failure) =>
+        this.#handleUnreachable(server, failure),
     });
     const sources = {
       ready: () => this.#isReady(),
@@ -270,7 +269,12 @@
     else this.#handleCrash(strike);
   }
 
-  #handleUnreachable(server: BackendServer): void {
+  #handleUnreachable(
+    server: BackendServer,
+    { reason, request }: ConnectFailure,
+  ): void {
+    const fields = { request, server: server.id, reason };
+    this.#events.warn("server-unreachable", fields);
     this.#handleCrash(this.#crashDetector.recordUnreachable(server));
   }
 
--- a/src/direct/exchange.ts
+++ b/src/direct/exchange.ts
@@ -65,7 +65,14 @@
   /** Called when a response of a server has broken off. */
   onBroken(server: BackendServer, fingerprint: string): void;
   /** Called when no connection to a server can be opened. */
-  onUnreachable(server: BackendServer): void;
+  onUnreachable(server: BackendServer, failure: ConnectFailure): void;
+}
+
+/** A failed attempt to connect to a server. */
+export interface ConnectFailure {
+  readonly reason: string;
+  /** Id of the request that it was for; null for a probe. */
+  readonly request: string | null;
 }
 
 /** How an unread request is refused. */
@@ -345,14 +352,8 @@
   }
 
   #handleConnectFailure(server: BackendServer, reason: string): Step {
-    const { events, onUnreachable } = this.#deps;
-    const fields = {
-      request: this.#record.logFields.id,
-      server: server.id,
-      reason,
-    };
-    events.warn("server-unreachable", fields);
-    onUnreachable(server);
+    const request = this.#record.logFields.id;
+    this.#deps.onUnreachable(server, { reason, request });
     this.#connectFailures += 1;
     if (this.#connectFailures < CONNECT_FAILURE_LIMIT) return RETRY;
     this.#fail(
