--- a/src/direct/connection_pool.ts
+++ b/src/direct/connection_pool.ts
@@ -1,7 +1,7 @@
 /** A pool of idle connections to backend servers. */
 
 import { ok, type Result } from "neverthrow";
-import type { BackendServer } from "../directory/mod.ts";
+import { type BackendServer, startKeyOf } from "../directory/mod.ts";
 import { BackendConnection } from "./backend_connection.ts";
 
 /** A connection for one request; give it back with `release`. */
@@ -73,6 +73,6 @@
 }
 
 /** Key of one start of a server: connections aren't reused after a restart. */
-function keyOf({ id, startedAtMs, host, port }: BackendServer): string {
-  return `${id} ${startedAtMs} ${host}:${port}`;
+function keyOf(server: BackendServer): string {
+  return `${startKeyOf(server)} ${server.host}:${server.port}`;
 }
