--- a/tests/admission/controller_test.ts
+++ b/tests/admission/controller_test.ts
@@ -173,8 +173,9 @@
 /**
  * Simulates 10 s in which the team "flood" sends a request every `intervalMs`
  * through one router, and the team "calm" its share through a second one, with
- * `calmLeftMs` until each is due. The engine prefills at its rate, and each request runs for another 200 ms.
- * Returns how many requests of each team were served.
+ * `calmLeftMs` until each is due. The engine prefills at its rate, and each
+ * request runs for another 200 ms. Returns how many requests of each team were
+ * served.
  */
 function simulateFlood({
   intervalMs,
--- a/tests/directory/server_directory_test.ts
+++ b/tests/directory/server_directory_test.ts
@@ -74,13 +74,20 @@
   assert.deepEqual(changes, ["joined s1", "changed s1"]);
 });
 
-test("a server that had left doesn't come back from a restored entry", () => {
-  const { clock, directory, changes } = createDirectory();
+/** Returns a directory in which a server that had left is listed again. */
+function createRestoredDirectory() {
+  const fixture = createDirectory();
+  const { clock, directory } = fixture;
   directory.put(createServer());
   directory.remove("s1");
   clock.advance(1_000);
   directory.noteRestore();
   directory.replaceAll([createServer()]);
+  return fixture;
+}
+
+test("a server that had left doesn't come back from a restored entry", () => {
+  const { clock, directory, changes } = createRestoredDirectory();
   clock.advance(4_000);
   directory.sweep();
   directory.remove("s1");
@@ -90,12 +97,7 @@
 });
 
 test("a server whose restored entry doesn't lapse comes back", () => {
-  const { clock, directory, changes } = createDirectory();
-  directory.put(createServer());
-  directory.remove("s1");
-  clock.advance(1_000);
-  directory.noteRestore();
-  directory.replaceAll([createServer()]);
+  const { clock, directory, changes } = createRestoredDirectory();
   clock.advance(6_000);
   directory.sweep();
   assert.deepEqual(changes, ["joined s1", "left s1", "joined s1"]);
