Log how long each request was allowed to take

A request that ended with "deadline" could have reached its caller's limit or the route's limit of the configuration under which it was admitted; the line didn't tell.

--- a/src/direct/admit.ts
+++ b/src/direct/admit.ts
@@ -27,6 +27,11 @@
   route: string | null;
   /** Cost in prompt tokens. */
   tokens: number;
+  /**
+   * Time from the arrival to the deadline, in ms: the caller's or the route's
+   * limit, whichever is shorter; null until the request is admitted.
+   */
+  allowedMs: number | null;
 }
 
 /** Context of one `admit` call. */
@@ -115,6 +120,7 @@
   if (destination === null)
     return err(unavailableHere("route-without-service"));
   const waitMs = Math.min(terms.waitMs ?? route.timeoutMs, route.timeoutMs);
+  logFields.allowedMs = waitMs;
   const elapsedMs =
     terms.waitMs === null ? 0 : callerWaits.elapsedMs(route.name, terms.waitMs);
   return ok({
--- a/src/direct/request_record.ts
+++ b/src/direct/request_record.ts
@@ -24,7 +24,7 @@
   readonly arrivedMs: number;
   /** Identity of the request, as far as it is known. */
   readonly logFields: RequestLogFields = {
-    ...{ id: "", team: null, route: null, tokens: 0 },
+    ...{ id: "", team: null, route: null, tokens: 0, allowedMs: null },
   };
   /** `end` value of the log line and the metrics: how the request ended. */
   end = "unknown";
@@ -87,7 +87,7 @@
     const tookMs = this.#sinceArrivalMs();
     this.#count(String(status ?? 0), tookMs);
     const { events, configuration, teamTally } = this.#deps;
-    const { id, team, route, tokens } = this.logFields;
+    const { id, team, route, tokens, allowedMs } = this.logFields;
     if (team !== null) teamTally.add(team, this.end, tokens);
     events.info("request", {
       ...{ request: id, team, route },
@@ -96,7 +96,7 @@
       uncached: this.#placement?.uncachedTokens ?? null,
       source: this.#placement?.source?.id ?? null,
       ...{ status, waitedMs: this.#waitedMs },
-      ...{ firstByteMs: this.#firstByteMs, tookMs },
+      ...{ firstByteMs: this.#firstByteMs, tookMs, allowedMs },
       configuration: configuration.table?.version ?? 0,
       configurationAgeMs: Math.round(configuration.ageMs),
     });
