Keep the response of a silent server until another one has begun

Callers saw a response reset or a 502 although their server worked: it had sent nothing for a second or so and would have gone on.

Cause: the relay broke every repeatable send to which nothing came for 1.5 objectives, and only then looked for another server. If that one had no capacity, refused the request or broke off, or if the retry budget was spent, the response was lost. Class of fault: a suspicion is acted on as if it were knowledge, and what works is given up before its replacement does.

Change: on silence the request is placed on another server while the first send goes on (HedgedSend). The first of the two that goes on serves the caller, and the other one is cancelled. A server that was replaced counts as failed, as before. Hedges need the same capacity and the same retry budget as retries do; without them the request stays where it is, and is tried again after the next silence.

--- a/src/direct/exchange.ts
+++ b/src/direct/exchange.ts
@@ -1,7 +1,6 @@
 /** Serves one caller's request, from its headers to the end of its response. */
 
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { setImmediate as nextTurn } from "node:timers/promises";
 import type { Clock } from "../common/clock.ts";
 import type { EventLog } from "../common/event_log.ts";
 import type { BackendServer } from "../directory/mod.ts";
@@ -18,7 +17,6 @@
   costOf,
   type Decision,
   type Demand,
-  type Outcome,
   type Placement,
   type Scheduler,
 } from "../scheduling/mod.ts";
@@ -34,13 +32,15 @@
 import type { ConnectionPool } from "./connection_pool.ts";
 import type { Dialect } from "./dialect.ts";
 import { EventSplitter } from "./event_splitter.ts";
-import { Relay, type SendResult } from "./relay.ts";
+import { HedgedSend, type SendOptions } from "./hedged_send.ts";
+import { Relay } from "./relay.ts";
 import { RequestRecord } from "./request_record.ts";
 import type { RetryBudget } from "./retry_budget.ts";
+import { type SendEnd, ServerSend } from "./server_send.ts";
 
 /**
  * Silence timeout as a multiple of the route's latency objective: a server that
- * sends nothing for longer is taken to have hung.
+ * sends nothing for longer may have hung, and another server is tried.
  */
 const SILENCE_TIMEOUT_OBJECTIVES = 1.5;
 /** Retry-After of a quarantined request; servers may be fixed by then. */
@@ -204,10 +204,9 @@
 
   /** Refuses the request and returns true if it is quarantined. */
   #refuseIfQuarantined(admitted: AdmittedRequest): boolean {
-    const { quarantine, events } = this.#deps;
-    if (quarantine.size === 0) return false;
+    if (!this.#isQuarantined(admitted)) return false;
+    const { events } = this.#deps;
     const fingerprint = this.#fingerprint(admitted);
-    if (quarantine.trust(fingerprint) !== "refused") return false;
     const request = this.#record.logFields.id;
     events.info("quarantined", { request, fingerprint });
     const sentence = "Quarantined: the request crashed several servers";
@@ -220,6 +219,12 @@
     return true;
   }
 
+  #isQuarantined(admitted: AdmittedRequest): boolean {
+    const { quarantine } = this.#deps;
+    if (quarantine.size === 0) return false;
+    return quarantine.trust(this.#fingerprint(admitted)) === "refused";
+  }
+
   #fingerprint({ team, body }: AdmittedRequest): string {
     const path = this.#request.url ?? "/";
     this.#cachedFingerprint ??= fingerprintOf({ team: team ?? "", path, body });
@@ -267,41 +272,94 @@
     }
   }
 
-  async #send(admitted: AdmittedRequest, placement: Placement): Promise<Step> {
-    const { pool } = this.#deps;
-    const { server } = placement;
-    const acquired = await pool.acquire(server);
-    // After a stall of the event loop, the caller's disconnect may be read in
-    // the same turn: let it be handled first, so that nothing is sent for it.
-    await nextTurn();
-    if (acquired.isErr()) {
-      placement.release("unreachable");
-      return this.#handleConnectFailure(server, acquired.error);
-    }
-    const { connection } = acquired.value;
-    if (this.#cancel.signal.aborted || this.#response.isDisconnected) {
-      pool.release(server, connection);
-      placement.release("neutral");
-      this.#endCancelled();
-      return DONE;
-    }
-    this.#recordSend(admitted, server.id);
-    const relay = new Relay(this.#response, connection, {
-      requestId: admitted.terms.id,
-      dialect: this.#deps.dialect,
-      withholdsFailures: this.#isRepeatable(admitted),
-      splitter: this.#splitter,
-      streaming: admitted.route.streaming,
-      onFirstByte: () => this.#recordFirstByte(placement),
-      silenceTimeoutMs: this.#silenceTimeoutMs(admitted),
+  async #send(admitted: AdmittedRequest, first: Placement): Promise<Step> {
+    const sends = new HedgedSend({
+      events: this.#deps.events,
+      requestId: this.#record.logFields.id,
+      mayHedge: () => this.#mayHedge(admitted),
+      place: (signal) => this.#placeHedge(admitted, signal),
+      start: (placement, options) =>
+        this.#startSend(admitted, placement, options),
+      onEnd: ({ server }, end) => this.#recordEnd(admitted, server, end),
+      onTakeover: (placement) => {
+        this.#record.recordPlacement(placement);
+        this.#splitter?.discardPartial();
+      },
     });
-    const request = this.#backendRequest(admitted, placement);
-    const result = await relay.run(request, this.#cancel.signal);
-    pool.release(server, connection);
-    placement.release(outcomeOf(result));
-    if (result.type === "broken")
-      this.#recordBroken(admitted, server, result.reason);
-    return this.#handleSendResult(admitted, result);
+    return this.#handleEnd(admitted, await sends.run(first));
+  }
+
+  #mayHedge(admitted: AdmittedRequest): boolean {
+    return (
+      this.#isRepeatable(admitted) &&
+      this.#mayRetry(admitted) &&
+      !this.#isQuarantined(admitted)
+    );
+  }
+
+  #placeHedge(
+    admitted: AdmittedRequest,
+    signal: AbortSignal,
+  ): Promise<Decision> {
+    const either = AbortSignal.any([signal, this.#cancel.signal]);
+    return this.#deps.scheduler.place(this.#demand(admitted), either);
+  }
+
+  #startSend(
+    admitted: AdmittedRequest,
+    placement: Placement,
+    { role, listener }: SendOptions,
+  ): ServerSend {
+    return new ServerSend({
+      pool: this.#deps.pool,
+      placement,
+      cancelSignal: this.#cancel.signal,
+      isCancelled: () => this.#response.isDisconnected,
+      request: () => {
+        this.#recordSend(admitted, placement.server.id);
+        return this.#backendRequest(admitted, placement);
+      },
+      createRelay: (connection) =>
+        new Relay(this.#response, connection, {
+          ...listener,
+          requestId: admitted.terms.id,
+          dialect: this.#deps.dialect,
+          withholdsFailures: role === "backup" || this.#isRepeatable(admitted),
+          splitter: this.#splitter,
+          streaming: admitted.route.streaming,
+          onFirstByte: () => this.#recordFirstByte(placement),
+          silenceTimeoutMs: this.#silenceTimeoutMs(admitted),
+        }),
+    });
+  }
+
+  #recordEnd(
+    admitted: AdmittedRequest,
+    server: BackendServer,
+    end: SendEnd,
+  ): void {
+    switch (end.type) {
+      case "broken":
+        this.#mayHaveRun = true;
+        this.#recordBroken(admitted, server, end.reason);
+        return;
+      case "failed":
+      case "aborted":
+      case "abandoned":
+        this.#mayHaveRun = true;
+        return;
+      case "unreachable": {
+        const request = this.#record.logFields.id;
+        this.#deps.onUnreachable(server, { reason: end.reason, request });
+        return;
+      }
+      case "complete":
+      case "not-run":
+      case "unsent":
+        return;
+      default:
+        end satisfies never;
+    }
   }
 
   #recordBroken(
@@ -351,9 +409,7 @@
     };
   }
 
-  #handleConnectFailure(server: BackendServer, reason: string): Step {
-    const request = this.#record.logFields.id;
-    this.#deps.onUnreachable(server, { reason, request });
+  #handleConnectFailure(): Step {
     this.#connectFailures += 1;
     if (this.#connectFailures < CONNECT_FAILURE_LIMIT) return RETRY;
     this.#fail(
@@ -367,25 +423,26 @@
     return DONE;
   }
 
-  #handleSendResult(admitted: AdmittedRequest, result: SendResult): Step {
-    switch (result.type) {
+  #handleEnd(admitted: AdmittedRequest, end: SendEnd): Step {
+    switch (end.type) {
       case "complete":
         this.#record.end = "served";
         return DONE;
       case "aborted":
-        this.#mayHaveRun = true;
+      case "abandoned":
+      case "unsent":
         this.#endCancelled();
         return DONE;
+      case "unreachable":
+        return this.#handleConnectFailure();
       case "not-run":
-        return this.#handleNotRun(admitted, result.status);
+        return this.#handleNotRun(admitted, end.status);
       case "failed":
-        this.#mayHaveRun = true;
-        return this.#retryOrFail(admitted, `Server answered ${result.status}`);
+        return this.#retryOrFail(admitted, `Server answered ${end.status}`);
       case "broken":
-        this.#mayHaveRun = true;
-        return this.#retryOrFail(admitted, result.reason);
+        return this.#retryOrFail(admitted, end.reason);
       default:
-        return result satisfies never;
+        return end satisfies never;
     }
   }
 
@@ -449,19 +506,3 @@
     this.#response.fail(failure, this.#deps.dialect);
   }
 }
-
-function outcomeOf(result: SendResult): Outcome {
-  switch (result.type) {
-    case "complete":
-      return result.status >= 500 ? "failed" : "served";
-    case "failed":
-    case "broken":
-      return "failed";
-    case "not-run":
-      return "shed";
-    case "aborted":
-      return "neutral";
-    default:
-      return result satisfies never;
-  }
-}
--- a/src/direct/relay.ts
+++ b/src/direct/relay.ts
@@ -26,7 +26,9 @@
   /** No complete, valid response came; the request may have run. */
   | { readonly type: "broken"; readonly reason: string }
   /** Cancelled: the caller disconnected, or the deadline passed. */
-  | { readonly type: "aborted" };
+  | { readonly type: "aborted" }
+  /** Cancelled by `abandon`: another server serves the request. */
+  | { readonly type: "abandoned" };
 
 /** How one response is validated and forwarded. */
 export interface RelayOptions {
@@ -39,8 +41,14 @@
   readonly splitter: EventSplitter | null;
   /** Whether the response is forwarded as it arrives instead of buffered. */
   readonly streaming: boolean;
-  /** Time without data after which the send fails; null for no timeout. */
+  /** Time without data that counts as silence; null if it doesn't matter. */
   readonly silenceTimeoutMs: number | null;
+  /** Called once nothing has come for `silenceTimeoutMs`. */
+  readonly onSilence: () => void;
+  /** Called when the response goes on after a silence. */
+  readonly onResumed: () => void;
+  /** Called when the response is valid and about to be forwarded. */
+  readonly onClaim: () => void;
   /** Called on the first byte of the body. */
   readonly onFirstByte: () => void;
 }
@@ -64,6 +72,7 @@
   #bufferedBytes = 0;
   #hasFirstByte = false;
   #silenceTimer: NodeJS.Timeout | null = null;
+  #isSilent = false;
 
   constructor(
     response: CallerResponse,
@@ -92,7 +101,7 @@
         return;
       }
       cancelSignal.addEventListener("abort", abort, { once: true });
-      this.#restartSilenceTimer();
+      this.restartSilenceTimer();
       this.#connection.send(request, {
         onRequestStart: () => {},
         onResponseStart: (_controller, status, headers) =>
@@ -104,23 +113,36 @@
     });
   }
 
-  #stopSilenceTimer(): void {
-    if (this.#silenceTimer !== null) clearTimeout(this.#silenceTimer);
-    this.#silenceTimer = null;
+  /** Closes the connection; `run` resolves with "abandoned". */
+  abandon(): void {
+    this.#end({ type: "abandoned" });
+    this.#connection.destroy();
   }
 
-  #restartSilenceTimer(): void {
+  /** Reports the next silence, if nothing comes for `silenceTimeoutMs`. */
+  restartSilenceTimer(): void {
     const { silenceTimeoutMs } = this.#options;
     if (silenceTimeoutMs === null || this.#hasEnded) return;
     if (this.#silenceTimer !== null) {
       this.#silenceTimer.refresh();
       return;
     }
-    const reason = `Nothing came for ${silenceTimeoutMs} ms`;
-    this.#silenceTimer = setTimeout(
-      () => this.#break(reason),
-      silenceTimeoutMs,
-    );
+    this.#silenceTimer = setTimeout(() => {
+      this.#isSilent = true;
+      this.#options.onSilence();
+    }, silenceTimeoutMs);
+  }
+
+  #stopSilenceTimer(): void {
+    if (this.#silenceTimer !== null) clearTimeout(this.#silenceTimer);
+    this.#silenceTimer = null;
+  }
+
+  #noteActivity(): void {
+    this.restartSilenceTimer();
+    if (!this.#isSilent) return;
+    this.#isSilent = false;
+    this.#options.onResumed();
   }
 
   #onHeaders(status: number, headers: ResponseHeaders): void {
@@ -136,8 +158,13 @@
     this.#headers = headers;
     this.#disposition = this.#dispositionOf(status, terms);
     if (this.#disposition !== "forward") return;
-    if (!this.#options.streaming) this.#buffered = [];
-    else if (this.#options.splitter === null) this.#startResponse();
+    this.#noteActivity();
+    if (!this.#options.streaming) {
+      this.#buffered = [];
+      return;
+    }
+    this.#options.onClaim();
+    if (this.#options.splitter === null) this.#startResponse();
   }
 
   /** Why a response is invalid; null if it is valid. Logged as `reason`. */
@@ -169,7 +196,7 @@
 
   #onData(controller: Controller, chunk: Buffer): void {
     if (this.#hasEnded || this.#disposition !== "forward") return;
-    this.#restartSilenceTimer();
+    this.#noteActivity();
     if (!this.#hasFirstByte) {
       this.#hasFirstByte = true;
       this.#options.onFirstByte();
@@ -193,7 +220,7 @@
     // Back pressure from a slow caller isn't silence of the server.
     this.#stopSilenceTimer();
     this.#response.onDrain(() => {
-      this.#restartSilenceTimer();
+      this.restartSilenceTimer();
       controller.resume();
     });
   }
@@ -202,6 +229,7 @@
   #flush(controller: Controller): void {
     const buffered = Buffer.concat(this.#buffered ?? []);
     this.#buffered = null;
+    this.#options.onClaim();
     this.#forward(controller, buffered);
   }
 
@@ -211,6 +239,7 @@
   }
 
   #onEnd(): void {
+    if (this.#hasEnded) return;
     const { error } = this.#connection;
     const untilClose = framingOf(this.#headers) === "until-close";
     // For a response that lasts until the connection closes, a reset looks like
@@ -238,6 +267,7 @@
   }
 
   #finish(status: number): void {
+    this.#options.onClaim();
     this.#startResponse();
     for (const bytes of this.#buffered ?? []) this.#response.write(bytes);
     this.#response.end();
--- /dev/null
+++ b/src/direct/server_send.ts
@@ -0,0 +1,110 @@
+/** One send of a request to one server, over a connection of the pool. */
+
+import { setImmediate as nextTurn } from "node:timers/promises";
+import type { Outcome, Placement } from "../scheduling/mod.ts";
+import type {
+  BackendConnection,
+  BackendRequest,
+} from "./backend_connection.ts";
+import type { ConnectionPool } from "./connection_pool.ts";
+import type { Relay, SendResult } from "./relay.ts";
+
+/** How a send to one server ended. */
+export type SendEnd =
+  | SendResult
+  /** No connection could be opened. */
+  | { readonly type: "unreachable"; readonly reason: string }
+  /** Cancelled before anything was sent. */
+  | { readonly type: "unsent" };
+
+/** What is sent, and how the response is relayed. */
+export interface ServerSendOptions {
+  readonly pool: ConnectionPool;
+  readonly placement: Placement;
+  /** Aborted when the caller disconnects or its deadline passes. */
+  readonly cancelSignal: AbortSignal;
+  /** Whether the caller has disconnected, even if the signal hasn't fired. */
+  readonly isCancelled: () => boolean;
+  /** Called once, just before the request is sent. */
+  readonly request: () => BackendRequest;
+  /** Called once, after `request`. */
+  readonly createRelay: (connection: BackendConnection) => Relay;
+}
+
+/** Starts on construction; `ended` resolves with its end and never rejects. */
+export class ServerSend {
+  readonly placement: Placement;
+  readonly ended: Promise<SendEnd>;
+  readonly #options: ServerSendOptions;
+  #relay: Relay | null = null;
+  #abandonedAs: Outcome | null = null;
+
+  constructor(options: ServerSendOptions) {
+    this.#options = options;
+    this.placement = options.placement;
+    this.ended = this.#run();
+  }
+
+  /**
+   * Cancels the send.
+   *
+   * @param outcome what the send has shown about its server
+   */
+  abandon(outcome: Outcome): void {
+    this.#abandonedAs ??= outcome;
+    this.#relay?.abandon();
+  }
+
+  /** Waits for another silence before it reports one again. */
+  restartSilenceTimer(): void {
+    this.#relay?.restartSilenceTimer();
+  }
+
+  async #run(): Promise<SendEnd> {
+    const { pool, placement } = this.#options;
+    const { server } = placement;
+    const acquired = await pool.acquire(server);
+    // After a stall of the event loop, the caller's disconnect may be read in
+    // the same turn: let it be handled first, so that nothing is sent for it.
+    await nextTurn();
+    if (acquired.isErr()) {
+      placement.release("unreachable");
+      return { type: "unreachable", reason: acquired.error };
+    }
+    const { connection } = acquired.value;
+    const result = await this.#relayOver(connection);
+    pool.release(server, connection);
+    placement.release(this.#abandonedAs ?? outcomeOf(result));
+    return result;
+  }
+
+  async #relayOver(connection: BackendConnection): Promise<SendEnd> {
+    const { cancelSignal, isCancelled, request, createRelay } = this.#options;
+    if (this.#abandonedAs !== null || cancelSignal.aborted || isCancelled()) {
+      return { type: "unsent" };
+    }
+    const sent = request();
+    this.#relay = createRelay(connection);
+    return await this.#relay.run(sent, cancelSignal);
+  }
+}
+
+function outcomeOf(end: SendEnd): Outcome {
+  switch (end.type) {
+    case "complete":
+      return end.status >= 500 ? "failed" : "served";
+    case "failed":
+    case "broken":
+      return "failed";
+    case "not-run":
+      return "shed";
+    case "unreachable":
+      return "unreachable";
+    case "aborted":
+    case "abandoned":
+    case "unsent":
+      return "neutral";
+    default:
+      return end satisfies never;
+  }
+}
