Show that a takeover comes too early, and that bodies are joined

A second server replaces a silent one at its headers: when it then breaks off or sends no event, the caller gets a reset though the first would have gone on. An idempotent body beyond the buffer limit is forwarded before its end; after a reset or a silence, bytes of another run follow (70,000 and 10,000).

--- /dev/null
+++ b/tests/direct/takeover_test.ts
@@ -0,0 +1,134 @@
+/** When the response of a second server may replace the first one's. */
+
+import assert from "node:assert/strict";
+import { afterEach, test } from "node:test";
+import { setTimeout as delay } from "node:timers/promises";
+import { request } from "undici";
+import type { Route } from "../../src/routing/mod.ts";
+import type {
+  ReceivedRequest,
+  Script,
+} from "../../stand_ins/scripted_server.ts";
+import { createConfiguration, createRoute } from "../support/routes.ts";
+import {
+  createRouterFixture,
+  endStream,
+  type RouterFixture,
+  serverHeaders,
+  startStream,
+  writeChunk,
+} from "./fixture.ts";
+
+const OBJECTIVE_MS = 200;
+/** Several times the silence after which another server is looked for. */
+const SILENCE_MS = OBJECTIVE_MS * 5;
+const FIRST_EVENT = "id: 1\ndata: a\n\n";
+const SECOND_EVENT = "id: 2\ndata: b\n\n";
+/** More than a response that is buffered until it is complete. */
+const FORWARDED_BYTES = 70_000;
+const WHOLE_BYTES = 80_000;
+
+let fixture: RouterFixture;
+
+afterEach(async () => {
+  await fixture.close();
+});
+
+async function start(first: Script, then: Script, route: Partial<Route>) {
+  let count = 0;
+  const script: Script = (received) => {
+    count += 1;
+    (count === 1 ? first : then)(received);
+  };
+  const routes = [createRoute({ ...route, objectiveMs: OBJECTIVE_MS })];
+  fixture = await createRouterFixture({
+    configuration: createConfiguration({ routes }),
+    scripts: [script, script],
+  });
+}
+
+const RESUMABLE = { streaming: true, repetition: "resumable" } as const;
+
+/** Returns what was received, up to the end or an error. */
+async function call(): Promise<{ text: string; isComplete: boolean }> {
+  const response = await request(`http://127.0.0.1:${fixture.port}/lookup/1`, {
+    headers: {
+      host: "desk.example",
+      "x-attempt-id": "id",
+      "x-deadline-ms": "3000",
+    },
+  });
+  let text = "";
+  try {
+    for await (const chunk of response.body) text += chunk;
+  } catch {
+    return { text, isComplete: false };
+  }
+  return { text, isComplete: true };
+}
+
+async function goOnAfterSilence(received: ReceivedRequest): Promise<void> {
+  startStream(received, FIRST_EVENT);
+  await delay(SILENCE_MS);
+  writeChunk(received, SECOND_EVENT);
+  endStream(received);
+}
+
+function startWithoutEvents(received: ReceivedRequest): void {
+  const head = `HTTP/1.1 200 OK\r\n${serverHeaders(received)}`;
+  received.socket.write(`${head}Transfer-Encoding: chunked\r\n\r\n`);
+}
+
+async function startAndBreak(received: ReceivedRequest): Promise<void> {
+  startWithoutEvents(received);
+  await delay(OBJECTIVE_MS / 4);
+  received.socket.resetAndDestroy();
+}
+
+function startLargeBody(received: ReceivedRequest, bytes: string): void {
+  const head = `HTTP/1.1 200 OK\r\n${serverHeaders(received)}`;
+  received.socket.write(`${head}Content-Length: ${WHOLE_BYTES}\r\n\r\n`);
+  received.socket.write(bytes);
+}
+
+function respondWithOtherBody(received: ReceivedRequest): void {
+  startLargeBody(received, "y".repeat(WHOLE_BYTES));
+}
+
+const WHOLE = { text: FIRST_EVENT + SECOND_EVENT, isComplete: true };
+
+test("a silent stream isn't cut when the other server breaks off before its first event", async () => {
+  await start(goOnAfterSilence, startAndBreak, RESUMABLE);
+  assert.deepEqual(await call(), WHOLE);
+});
+
+test("a silent stream isn't cut when the other server sends headers and no event", async () => {
+  await start(goOnAfterSilence, startWithoutEvents, RESUMABLE);
+  assert.deepEqual(await call(), WHOLE);
+});
+
+test("a body of which a part was forwarded isn't continued with another server's after a reset", async () => {
+  const breakOff = async (received: ReceivedRequest) => {
+    startLargeBody(received, "x".repeat(FORWARDED_BYTES));
+    await delay(OBJECTIVE_MS / 4);
+    received.socket.resetAndDestroy();
+  };
+  await start(breakOff, respondWithOtherBody, {});
+  const { text, isComplete } = await call();
+  assert.ok(
+    !isComplete || !text.includes("y"),
+    "Bodies of two runs are joined",
+  );
+});
+
+test("a body of which a part was forwarded isn't continued with another server's after a silence", async () => {
+  const goOn = async (received: ReceivedRequest) => {
+    startLargeBody(received, "x".repeat(FORWARDED_BYTES));
+    await delay(SILENCE_MS);
+    received.socket.write("x".repeat(WHOLE_BYTES - FORWARDED_BYTES));
+  };
+  await start(goOn, respondWithOtherBody, {});
+  const { text, isComplete } = await call();
+  assert.ok(isComplete, "The response of the silent server was cut");
+  assert.ok(!text.includes("y"), "Bodies of two runs are joined");
+});
