--- a/tests/direct/fixture.ts
+++ b/tests/direct/fixture.ts
@@ -3,7 +3,10 @@
 import { setTimeout as delay } from "node:timers/promises";
 import { headerDialect } from "../../platform/header_dialect.ts";
 import { EventLog } from "../../src/common/event_log.ts";
-import { DirectRouter } from "../../src/direct/mod.ts";
+import {
+  DirectRouter,
+  type DirectRouterSettings,
+} from "../../src/direct/mod.ts";
 import type { FleetConfiguration } from "../../src/routing/mod.ts";
 import {
   type ReceivedRequest,
@@ -35,6 +38,7 @@
   readonly scripts?: readonly Script[];
   /** Time that the router may take to shut down. */
   readonly graceSeconds?: number;
+  readonly retries?: DirectRouterSettings["retries"];
 }
 
 /**
@@ -45,6 +49,7 @@
   configuration = createConfiguration(),
   scripts = [respondCompletely],
   graceSeconds = 0.2,
+  retries = { ratio: 1, windowSeconds: 10, slack: 100 },
 }: RouterFixtureOptions): Promise<RouterFixture> {
   const [port = 0, readyPort = 0] = await freePorts(2);
   const router = new DirectRouter(
@@ -59,7 +64,7 @@
       graceSeconds,
       revocationMs: 5_000,
       noticeMs: 3_000,
-      retries: { ratio: 1, windowSeconds: 10, slack: 100 },
+      retries,
     },
     { events, dialect: headerDialect },
   );
--- /dev/null
+++ b/tests/direct/retry_budget_test.ts
@@ -0,0 +1,52 @@
+/** Requests that wait to be sent again share one retry budget. */
+
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { ScriptedServer } from "../../stand_ins/scripted_server.ts";
+import { until } from "../../tools/fleet/until.ts";
+import { createConfiguration, createRoute } from "../support/routes.ts";
+import {
+  announceServer,
+  createRouterFixture,
+  letOtherTasksRun,
+  neverRespond,
+} from "./fixture.ts";
+import { callRaw } from "./raw_caller.ts";
+
+const TIMEOUT_MS = 10_000;
+const OBJECTIVE_MS = 500;
+/** Places of one server for this router. */
+const PLACES = 2;
+const REQUESTS = 12;
+const ALLOWED_RETRIES = 5;
+
+test("requests that wait for a second server stay within the retry budget", async () => {
+  const script = neverRespond;
+  const fixture = await createRouterFixture({
+    configuration: createConfiguration({
+      routes: [createRoute({ objectiveMs: OBJECTIVE_MS })],
+    }),
+    scripts: Array.from({ length: REQUESTS / PLACES }, () => script),
+    retries: { ratio: 0, windowSeconds: 10, slack: ALLOWED_RETRIES },
+  });
+  const responses = Array.from({ length: REQUESTS }, (_, index) =>
+    callRaw(fixture.port, { headers: { "x-attempt-id": `id-${index}` } }),
+  );
+  await until("requests wait for another server", TIMEOUT_MS, {
+    holds: () => fixture.router.waiting > ALLOWED_RETRIES,
+  });
+  const others = Array.from(
+    { length: REQUESTS },
+    () => new ScriptedServer(script),
+  );
+  for (const [index, server] of others.entries()) {
+    await server.listen();
+    announceServer(fixture.router, `other-${index}`, server.port);
+  }
+  await letOtherTasksRun();
+  const retries = others.flatMap(({ requests }) => requests).length;
+  for (const server of others) server.crash();
+  await fixture.close();
+  await Promise.all(responses);
+  assert.ok(retries <= ALLOWED_RETRIES, `${retries} retries`);
+});
