End a cancelled send as cancelled, not as broken

A caller that left, or a deadline, before its request had gone out was recorded as a broken response of the server: the server's health fell and it was probed.

Cause: the connection was destroyed before the send was ended, and the HTTP client reports the requests that it still holds as failed at once. Now the send ends first. tests/direct/relay_test.ts failed before ("broken", "The client is destroyed") and passes now.

--- a/src/direct/relay.ts
+++ b/src/direct/relay.ts
@@ -88,8 +88,8 @@
   run(request: BackendRequest, cancelSignal: AbortSignal): Promise<SendResult> {
     return new Promise((resolve) => {
       const abort = () => {
-        this.#connection.destroy();
         this.#end({ type: "aborted" });
+        this.#connection.destroy();
       };
       this.#resolve = (result) => {
         this.#stopSilenceTimer();
--- a/tests/direct/relay_test.ts
+++ b/tests/direct/relay_test.ts
@@ -23,6 +23,7 @@
   return new Relay(response, connection, {
     ...{ requestId: "id-1", dialect: headerDialect, splitter: null },
     ...{ withholdsFailures: true, streaming: false, silenceTimeoutMs: null },
+    ...{ onSilence: () => {}, onResumed: () => {}, onClaim: () => {} },
     onFirstByte: () => {},
   });
 }
