Let a second server take over at its first event, not at its headers

A stream whose server was silent was still reset if the second server sent its headers and then broke off or sent nothing: the first server, which would have gone on, had been closed at those headers.

Cause: the claim came with valid headers, before there was anything to forward. Now it comes with the first bytes to forward, the first complete event of a resumable stream. Until then both sends are open, so each has a splitter of its own, and both share how far the stream has come.

The splitter's unit test now checks a second splitter instead of a discarded partial event.

--- a/src/direct/event_splitter.ts
+++ b/src/direct/event_splitter.ts
@@ -3,14 +3,19 @@
 const LINE_FEED = 0x0a;
 const ID_LINE = /^id:\s?(.*)$/m;
 
+/** How far a stream has come, over all servers that it comes from. */
+export interface StreamProgress {
+  /** Id of the last complete event that has one; null before the first. */
+  lastId: string | null;
+}
+
 /** Returns complete events; buffers the bytes of a partial one. */
 export class EventSplitter {
+  readonly #progress: StreamProgress;
   #partial: Buffer = Buffer.alloc(0);
-  #lastId: string | null = null;
 
-  /** Id of the last complete event that has one; null before the first. */
-  get lastId(): string | null {
-    return this.#lastId;
+  constructor(progress: StreamProgress) {
+    this.#progress = progress;
   }
 
   /** Whether a partial event is buffered. */
@@ -27,14 +32,10 @@
     const end = endOfLastEvent(all);
     const complete = all.subarray(0, end);
     this.#partial = all.subarray(end);
-    if (complete.length > 0) this.#lastId = lastIdIn(complete) ?? this.#lastId;
+    if (complete.length > 0)
+      this.#progress.lastId = lastIdIn(complete) ?? this.#progress.lastId;
     return complete;
   }
-
-  /** Discards a partial event after its stream broke off. */
-  discardPartial(): void {
-    this.#partial = Buffer.alloc(0);
-  }
 }
 
 function endOfLastEvent(bytes: Buffer): number {
--- a/src/direct/exchange.ts
+++ b/src/direct/exchange.ts
@@ -31,7 +31,7 @@
 import type { ConfigurationState } from "./configuration_state.ts";
 import type { ConnectionPool } from "./connection_pool.ts";
 import type { Dialect } from "./dialect.ts";
-import { EventSplitter } from "./event_splitter.ts";
+import { EventSplitter, type StreamProgress } from "./event_splitter.ts";
 import { HedgedSend, type SendOptions } from "./hedged_send.ts";
 import { Relay } from "./relay.ts";
 import { RequestRecord } from "./request_record.ts";
@@ -94,7 +94,8 @@
   readonly #response: CallerResponse;
   readonly #cancel = new AbortController();
   readonly #triedServers = new Set<string>();
-  #splitter: EventSplitter | null = null;
+  /** Null if the stream, or another response, can't be resumed. */
+  #progress: StreamProgress | null = null;
   readonly #record: RequestRecord;
   #cachedFingerprint: string | null = null;
   #hasReadTerms = false;
@@ -172,8 +173,7 @@
       teamShares.add(admitted.team, costOf(admitted.terms));
     }
     if (this.#refuseIfQuarantined(admitted)) return;
-    this.#splitter =
-      route.repetition === "resumable" ? new EventSplitter() : null;
+    this.#progress = route.repetition === "resumable" ? { lastId: null } : null;
     const remainingMs = deadlineAtMs - clock.monotonicMs();
     const timer = setTimeout(() => this.#cancel.abort(), remainingMs);
     const cancel = () => this.#cancel.abort();
@@ -281,10 +281,7 @@
       start: (placement, options) =>
         this.#startSend(admitted, placement, options),
       onEnd: ({ server }, end) => this.#recordEnd(admitted, server, end),
-      onTakeover: (placement) => {
-        this.#record.recordPlacement(placement);
-        this.#splitter?.discardPartial();
-      },
+      onTakeover: (placement) => this.#record.recordPlacement(placement),
     });
     return this.#handleEnd(admitted, await sends.run(first));
   }
@@ -325,7 +322,7 @@
           requestId: admitted.terms.id,
           dialect: this.#deps.dialect,
           withholdsFailures: role === "backup" || this.#isRepeatable(admitted),
-          splitter: this.#splitter,
+          splitter: this.#progress && new EventSplitter(this.#progress),
           streaming: admitted.route.streaming,
           onFirstByte: () => this.#recordFirstByte(placement),
           silenceTimeoutMs: this.#silenceTimeoutMs(admitted),
@@ -398,7 +395,7 @@
     { server, source }: Placement,
   ) {
     const { clock, dialect } = this.#deps;
-    const lastEventId = this.#splitter?.lastId ?? terms.lastEventId;
+    const lastEventId = this.#progress?.lastId ?? terms.lastEventId;
     const remainingMs = deadlineAtMs - clock.monotonicMs();
     const forwarding = { server, source, remainingMs, team, lastEventId };
     return {
@@ -467,7 +464,6 @@
   }
 
   #retryOrFail(admitted: AdmittedRequest, reason: string): Step {
-    this.#splitter?.discardPartial();
     if (this.#isRepeatable(admitted) && this.#mayRetry(admitted)) {
       this.#record.logRetry(reason, 0);
       return RETRY;
--- a/src/direct/hedged_send.ts
+++ b/src/direct/hedged_send.ts
@@ -2,8 +2,8 @@
  * Sends a request to a server and, while that server is silent, to another.
  *
  * A silent server may be hung or may go on in a second, which can't be told
- * apart. Its response is therefore kept until another server has begun to
- * respond; whichever of the two goes on first serves the request.
+ * apart. Its response is therefore kept until another server has sent something
+ * to forward; whichever of the two goes on first serves the request.
  */
 
 import type { EventLog } from "../common/event_log.ts";
@@ -19,7 +19,7 @@
   onSilence(): void;
   /** The server goes on after a silence. */
   onResumed(): void;
-  /** The response is valid and about to be forwarded. */
+  /** Bytes of the response are about to be forwarded. */
   onClaim(): void;
 }
 
--- a/src/direct/relay.ts
+++ b/src/direct/relay.ts
@@ -47,7 +47,7 @@
   readonly onSilence: () => void;
   /** Called when the response goes on after a silence. */
   readonly onResumed: () => void;
-  /** Called when the response is valid and about to be forwarded. */
+  /** Called before bytes of the response are forwarded. */
   readonly onClaim: () => void;
   /** Called on the first byte of the body. */
   readonly onFirstByte: () => void;
@@ -163,7 +163,6 @@
       this.#buffered = [];
       return;
     }
-    this.#options.onClaim();
     if (this.#options.splitter === null) this.#startResponse();
   }
 
@@ -229,11 +228,11 @@
   #flush(controller: Controller): void {
     const buffered = Buffer.concat(this.#buffered ?? []);
     this.#buffered = null;
-    this.#options.onClaim();
     this.#forward(controller, buffered);
   }
 
   #startResponse(): void {
+    this.#options.onClaim();
     if (!this.#response.hasStarted)
       this.#response.start(this.#status, this.#headers);
   }
@@ -267,7 +266,6 @@
   }
 
   #finish(status: number): void {
-    this.#options.onClaim();
     this.#startResponse();
     for (const bytes of this.#buffered ?? []) this.#response.write(bytes);
     this.#response.end();
--- a/tests/direct/parts_test.ts
+++ b/tests/direct/parts_test.ts
@@ -5,7 +5,10 @@
 import { EventLog } from "../../src/common/event_log.ts";
 import { ConfigurationState } from "../../src/direct/configuration_state.ts";
 import { CrashDetector } from "../../src/direct/crash_detector.ts";
-import { EventSplitter } from "../../src/direct/event_splitter.ts";
+import {
+  EventSplitter,
+  type StreamProgress,
+} from "../../src/direct/event_splitter.ts";
 import { RetryBudget } from "../../src/direct/retry_budget.ts";
 import { createManualClock } from "../support/manual_clock.ts";
 import { createConfiguration } from "../support/routes.ts";
@@ -74,15 +77,18 @@
 });
 
 test("the splitter returns only complete events", () => {
-  const splitter = new EventSplitter();
-  const push = (text: string) => splitter.push(Buffer.from(text)).toString();
-  assert.equal(push("id: 1\ndata: a\n"), "");
-  assert.equal(push("\nid: 2\ndata"), "id: 1\ndata: a\n\n");
-  assert.equal(splitter.lastId, "1");
-  assert.equal(splitter.hasPartialEvent, true);
-  splitter.discardPartial();
-  assert.equal(push("id: 2\ndata: b\n\n"), "id: 2\ndata: b\n\n");
-  assert.equal(splitter.lastId, "2");
+  const progress: StreamProgress = { lastId: null };
+  const first = new EventSplitter(progress);
+  const second = new EventSplitter(progress);
+  const push = (splitter: EventSplitter, text: string) =>
+    splitter.push(Buffer.from(text)).toString();
+  assert.equal(push(first, "id: 1\ndata: a\n"), "");
+  assert.equal(push(first, "\nid: 2\ndata"), "id: 1\ndata: a\n\n");
+  assert.equal(progress.lastId, "1");
+  assert.equal(first.hasPartialEvent, true);
+  assert.equal(push(second, "id: 2\ndata: b\n\n"), "id: 2\ndata: b\n\n");
+  assert.equal(second.hasPartialEvent, false);
+  assert.equal(progress.lastId, "2");
 });
 
 test("a broken response is a crash once its server is unreachable", () => {
