Never continue a body that isn't a stream with another server's

An idempotent response of more than 64 KiB could reach its caller as a complete 200 made of two runs: 70,000 bytes of one server and 10,000 of another, after a reset or a silence of the first.

Cause: above the buffer limit a response is forwarded before its end, and the request still counted as repeatable; any 2xx response then continued it. Now a request whose response has started is only repeated if that is a resumable stream, and the relay takes no other response as a continuation.

--- a/src/direct/exchange.ts
+++ b/src/direct/exchange.ts
@@ -474,7 +474,13 @@
 
   #isRepeatable({ route }: AdmittedRequest): boolean {
     const { repetition, maxAttempts } = route;
-    return repetition !== "non-idempotent" && this.#record.sends < maxAttempts;
+    // Only an event stream can go on from another server where it broke off.
+    const canContinue = this.#progress !== null || !this.#response.hasStarted;
+    return (
+      repetition !== "non-idempotent" &&
+      canContinue &&
+      this.#record.sends < maxAttempts
+    );
   }
 
   #mayRetry({ service }: AdmittedRequest): boolean {
--- a/src/direct/relay.ts
+++ b/src/direct/relay.ts
@@ -187,9 +187,10 @@
   #dispositionOf(status: number, { notRun }: ResponseTerms): Disposition {
     if (notRun) return "not-run";
     const failed = status >= 500 && this.#options.withholdsFailures;
-    // A response that has started can only be resumed by a 2xx one.
-    const cannotResume =
-      this.#response.hasStarted && (status < 200 || status >= 300);
+    // A response that has started can only be resumed by a 2xx event stream.
+    const canResume =
+      this.#options.splitter !== null && status >= 200 && status < 300;
+    const cannotResume = this.#response.hasStarted && !canResume;
     return failed || cannotResume ? "failed" : "forward";
   }
 
