Reserve a retry before waiting for a server

Requests that waited for a second server together overdrew the retry budget: 12 retries where 5 are allowed. Found in a review.

Cause: the budget was asked before the wait and charged at the send, so all that waited passed on the same count. Now a retry or hedge reserves its place when it is decided on, and gives it back if nothing is sent.

--- a/src/direct/exchange.ts
+++ b/src/direct/exchange.ts
@@ -17,6 +17,7 @@
   costOf,
   type Decision,
   type Demand,
+  type Outcome,
   type Placement,
   type Scheduler,
 } from "../scheduling/mod.ts";
@@ -32,10 +33,10 @@
 import type { ConnectionPool } from "./connection_pool.ts";
 import type { Dialect } from "./dialect.ts";
 import { EventSplitter, type StreamProgress } from "./event_splitter.ts";
-import { HedgedSend, type SendOptions } from "./hedged_send.ts";
+import { HedgedSend, type SendOptions, type SendRole } from "./hedged_send.ts";
 import { Relay } from "./relay.ts";
 import { RequestRecord } from "./request_record.ts";
-import type { RetryBudget } from "./retry_budget.ts";
+import type { RetryBudget, RetryReservation } from "./retry_budget.ts";
 import { type SendEnd, ServerSend } from "./server_send.ts";
 
 /**
@@ -97,6 +98,10 @@
   /** Null if the stream, or another response, can't be resumed. */
   #progress: StreamProgress | null = null;
   readonly #record: RequestRecord;
+  /** The next send, if it is a retry. */
+  #retry: RetryReservation | null = null;
+  /** The send to another server while one is silent. */
+  #hedgeRetry: RetryReservation | null = null;
   #cachedFingerprint: string | null = null;
   #hasReadTerms = false;
   #connectFailures = 0;
@@ -185,6 +190,7 @@
       while ((await this.#attempt(admitted)).type === "retry") {}
     } finally {
       clearTimeout(timer);
+      this.#retry?.release();
     }
   }
 
@@ -289,17 +295,30 @@
   #mayHedge(admitted: AdmittedRequest): boolean {
     return (
       this.#isRepeatable(admitted) &&
-      this.#mayRetry(admitted) &&
+      !this.#cancel.signal.aborted &&
       !this.#isQuarantined(admitted)
     );
   }
 
-  #placeHedge(
+  async #placeHedge(
     admitted: AdmittedRequest,
-    signal: AbortSignal,
+    search: AbortSignal,
   ): Promise<Decision> {
-    const either = AbortSignal.any([signal, this.#cancel.signal]);
-    return this.#deps.scheduler.place(this.#demand(admitted), either);
+    const retry = this.#deps.retryBudget.reserveRetry(admitted.service);
+    if (retry === null) return { type: "left" };
+    const signal = AbortSignal.any([search, this.#cancel.signal]);
+    const demand = this.#demand(admitted);
+    const decision = await this.#deps.scheduler.place(demand, signal);
+    if (decision.type !== "placed") {
+      retry.release();
+      return decision;
+    }
+    this.#hedgeRetry = retry;
+    const release = (outcome: Outcome) => {
+      retry.release();
+      decision.release(outcome);
+    };
+    return { ...decision, release };
   }
 
   #startSend(
@@ -313,7 +332,7 @@
       cancelSignal: this.#cancel.signal,
       isCancelled: () => this.#response.isDisconnected,
       request: () => {
-        this.#recordSend(admitted, placement.server.id);
+        this.#recordSend(placement.server.id, role);
         return this.#backendRequest(admitted, placement);
       },
       createRelay: (connection) =>
@@ -379,9 +398,9 @@
     return admitted.route.objectiveMs * SILENCE_TIMEOUT_OBJECTIVES;
   }
 
-  #recordSend({ service }: AdmittedRequest, server: string): void {
+  #recordSend(server: string, role: SendRole): void {
     this.#record.recordSend();
-    if (this.#record.sends > 1) this.#deps.retryBudget.recordRetry(service);
+    (role === "backup" ? this.#hedgeRetry : this.#retry)?.spend();
     this.#triedServers.add(server);
   }
 
@@ -446,7 +465,7 @@
   #handleNotRun(admitted: AdmittedRequest, status: number): Step {
     if (
       this.#record.sends < admitted.route.maxAttempts &&
-      this.#mayRetry(admitted)
+      this.#reserveRetry(admitted)
     ) {
       this.#record.logRetry("not-run", status);
       return RETRY;
@@ -464,7 +483,7 @@
   }
 
   #retryOrFail(admitted: AdmittedRequest, reason: string): Step {
-    if (this.#isRepeatable(admitted) && this.#mayRetry(admitted)) {
+    if (this.#isRepeatable(admitted) && this.#reserveRetry(admitted)) {
       this.#record.logRetry(reason, 0);
       return RETRY;
     }
@@ -483,9 +502,10 @@
     );
   }
 
-  #mayRetry({ service }: AdmittedRequest): boolean {
+  #reserveRetry({ service }: AdmittedRequest): boolean {
     if (this.#cancel.signal.aborted) return false;
-    return this.#deps.retryBudget.mayRetry(service);
+    this.#retry = this.#deps.retryBudget.reserveRetry(service);
+    return this.#retry !== null;
   }
 
   /** Ends a request whose caller disconnected or whose deadline passed. */
--- a/src/direct/retry_budget.ts
+++ b/src/direct/retry_budget.ts
@@ -21,6 +21,14 @@
   readonly retries: number[];
 }
 
+/** A retry that counts against the budget from its decision on. */
+export interface RetryReservation {
+  /** Tells that it was sent. */
+  spend(): void;
+  /** Gives it back if it wasn't sent. */
+  release(): void;
+}
+
 /** Counts requests and retries by service. */
 export class RetryBudget {
   readonly #clock: Clock;
@@ -48,17 +56,28 @@
     this.#of(service).requests.push(this.#clock.monotonicMs());
   }
 
-  /** Counts a retry of a request for a service. */
-  recordRetry(service: string): void {
-    this.#of(service).retries.push(this.#clock.monotonicMs());
-  }
-
-  /** Whether the budget of the service allows another retry. */
-  mayRetry(service: string): boolean {
+  /**
+   * Counts a retry of a request for a service; returns null if the budget
+   * doesn't allow one.
+   */
+  reserveRetry(service: string): RetryReservation | null {
     const { ratio, slack } = this.#limits;
     const { requests, retries } = this.#of(service);
     const allowedRetries = ratio * requests.length + slack / this.#routerCount;
-    return retries.length + 1 <= allowedRetries * SAFETY_SHARE;
+    if (retries.length + 1 > allowedRetries * SAFETY_SHARE) return null;
+    const atMs = this.#clock.monotonicMs();
+    retries.push(atMs);
+    let isOpen = true;
+    return {
+      spend: () => {
+        isOpen = false;
+      },
+      release: () => {
+        const index = isOpen ? retries.indexOf(atMs) : -1;
+        isOpen = false;
+        if (index !== -1) retries.splice(index, 1);
+      },
+    };
   }
 
   #of(service: string): RecentTimes {
