Try another server for a silent one only if it is free now

While a server was silent, its requests queued at the other servers for up to 0.6 of their objective, before requests that no server had got.

Cause: a hedge was placed like a request that nobody serves yet. Now a server has to be free within 100 ms, a few round trips to an admission controller; otherwise the request stays where it is until the next silence.

tests/direct/silent_server_test.ts, "a request whose server is silent takes no place from new requests": failed before ("/lookup/1" got the place), passes now.

--- a/src/direct/exchange.ts
+++ b/src/direct/exchange.ts
@@ -46,6 +46,12 @@
 const SILENCE_TIMEOUT_OBJECTIVES = 1.5;
 /** Retry-After of a quarantined request; servers may be fixed by then. */
 const QUARANTINE_RETRY_AFTER_MS = 60_000;
+/**
+ * Time in which a second server must be free for a request whose server is
+ * silent: a few round trips to an admission controller. Waiting longer would
+ * take capacity from requests that no server has got.
+ */
+const HEDGE_PLACEMENT_TIMEOUT_MS = 100;
 /** Failed connection attempts after which a request is given up. */
 const CONNECT_FAILURE_LIMIT = 8;
 
@@ -306,7 +312,10 @@
   ): Promise<Decision> {
     const retry = this.#deps.retryBudget.reserveRetry(admitted.service);
     if (retry === null) return { type: "left" };
-    const signal = AbortSignal.any([search, this.#cancel.signal]);
+    const signal = AbortSignal.any([
+      ...[search, this.#cancel.signal],
+      AbortSignal.timeout(HEDGE_PLACEMENT_TIMEOUT_MS),
+    ]);
     const demand = this.#demand(admitted);
     const decision = await this.#deps.scheduler.place(demand, signal);
     if (decision.type !== "placed") {
--- a/tests/direct/silent_server_test.ts
+++ b/tests/direct/silent_server_test.ts
@@ -35,25 +35,25 @@
 
 async function start(
   scripts: readonly Script[],
-  { streaming = true }: { readonly streaming?: boolean } = {},
+  {
+    streaming = true,
+    objectiveMs = OBJECTIVE_MS,
+  }: { readonly streaming?: boolean; readonly objectiveMs?: number } = {},
 ): Promise<void> {
   const repetition = streaming ? "resumable" : "idempotent";
-  const route = { streaming, repetition, objectiveMs: OBJECTIVE_MS } as const;
+  const route = { streaming, repetition, objectiveMs } as const;
   const configuration = createConfiguration({ routes: [createRoute(route)] });
   fixture = await createRouterFixture({ configuration, scripts });
 }
 
-async function call() {
-  const response = await request(
-    `http://127.0.0.1:${fixture.port}/lookup/1?x=1`,
-    {
-      headers: {
-        host: "desk.example",
-        "x-attempt-id": "id",
-        "x-deadline-ms": "4000",
-      },
+async function call(path = "/lookup/1") {
+  const response = await request(`http://127.0.0.1:${fixture.port}${path}`, {
+    headers: {
+      host: "desk.example",
+      "x-attempt-id": "id",
+      "x-deadline-ms": "4000",
     },
-  );
+  });
   const text = await response.body.text();
   return { status: response.statusCode, text };
 }
@@ -182,3 +182,29 @@
   assert.deepEqual(await call(), WHOLE);
   assert.equal(arrivals().length, 2);
 });
+
+test("a request whose server is silent takes no place from new requests", async () => {
+  const running: ReceivedRequest[] = [];
+  const script: Script = (received) => running.push(received);
+  // A request may wait for 600 ms of this, a hedge for 100 ms.
+  const objectiveMs = 1_000;
+  await start([script, script], { streaming: false, objectiveMs });
+  const calls = [call(), call(), call(), call()];
+  await until("all places are taken", TIMEOUT_MS, {
+    holds: () => running.length === calls.length,
+  });
+  const { router } = fixture;
+  const isWaiting = () => router.waiting > 0;
+  await until("other servers are tried", TIMEOUT_MS, { holds: isWaiting });
+  await delay(200);
+  const fresh = call("/lookup/new");
+  await until("a new request waits", TIMEOUT_MS, { holds: isWaiting });
+  respondCompletely(running[0] as ReceivedRequest);
+  await until("one more runs", TIMEOUT_MS, {
+    holds: () => running.length > calls.length,
+  });
+  assert.equal(running.at(-1)?.path, "/lookup/new");
+  for (const received of running.slice(1)) respondCompletely(received);
+  assert.equal((await fresh).status, 200);
+  await Promise.all(calls);
+});
