Check the quarantine again before a request is sent for a silent server

A request that had crashed its third server while another one was looked for was still sent there.

Cause: HedgedSend checked before the search only; the first placement is checked after it, too. tests/direct/hedged_send_test.ts, "a request that was quarantined during the search isn't sent again": failed before (2 sends), passes now.

--- a/src/direct/hedged_send.ts
+++ b/src/direct/hedged_send.ts
@@ -106,7 +106,10 @@
       return;
     }
     this.#search = null;
-    if (decision.type !== "placed") {
+    // Its last crash may have been found during the search.
+    const isPlaced = decision.type === "placed";
+    if (!isPlaced || !this.#deps.mayHedge()) {
+      if (isPlaced) decision.release("neutral");
       this.#log(silent, "refused", null);
       silent.restartSilenceTimer();
       return;
