--- a/src/direct/hedged_send.ts
+++ b/src/direct/hedged_send.ts
@@ -52,6 +52,8 @@
   /** The send to another server while the leader is silent. */
   #backup: ServerSend | null = null;
   #search: AbortController | null = null;
+  /** Sends that have been the leader after another one. */
+  readonly #promoted = new Set<ServerSend>();
 
   constructor(deps: HedgedSendDependencies) {
     this.#deps = deps;
@@ -123,7 +125,7 @@
   async #watchBackup(backup: ServerSend, silent: ServerSend): Promise<void> {
     const end = await backup.ended;
     // If it has taken over, `run` handles its end.
-    if (this.#leader === backup) return;
+    if (this.#promoted.has(backup)) return;
     this.#deps.onEnd(backup.placement, end);
     if (this.#backup !== backup) return;
     this.#backup = null;
@@ -141,6 +143,7 @@
   #promote(backup: ServerSend): void {
     this.#leader = backup;
     this.#backup = null;
+    this.#promoted.add(backup);
     backup.restartSilenceTimer();
     this.#deps.onTakeover(backup.placement);
   }
