Don't let a defect in a hedge end the process or leak a permit

An exception in the search for another server was an unhandled rejection, which ends the process and all of its requests; one in a send kept its connection and its permit. Found in a review.

--- a/src/direct/hedged_send.ts
+++ b/src/direct/hedged_send.ts
@@ -59,19 +59,21 @@
     this.#deps = deps;
   }
 
-  /** Resolves with the end of the send that decided; never rejects. */
+  /** Resolves with the end of the send that decided. */
   async run(placement: Placement): Promise<SendEnd> {
-    this.#leader = this.#start(placement, "first");
+    let leader = this.#start(placement, "first");
+    this.#leader = leader;
     for (;;) {
-      const leader: ServerSend = this.#leader;
       const end = await leader.ended;
       this.#deps.onEnd(leader.placement, end);
-      if (this.#leader !== leader) continue;
-      if (this.#backup === null || !isFailure(end)) {
-        this.#cancelBackup();
-        return end;
+      if (this.#leader === leader) {
+        if (this.#backup === null || !isFailure(end)) {
+          this.#cancelBackup();
+          return end;
+        }
+        this.#promote(this.#backup);
       }
-      this.#promote(this.#backup);
+      leader = this.#leader;
     }
   }
 
@@ -79,7 +81,8 @@
     const listener: SendListener = {
       onSilence: () => {
         if (send === this.#leader && this.#backup === null) {
-          void this.#hedge(send);
+          // A bug here must not end the response that is awaited.
+          this.#hedge(send).catch((error: Error) => this.#logDefect(error));
         }
       },
       onResumed: () => {
@@ -155,6 +158,10 @@
     this.#backup = null;
   }
 
+  #logDefect({ message, stack }: Error): void {
+    this.#deps.events.error("defect", { message, stack });
+  }
+
   #log(silent: ServerSend, outcome: string, backup: Placement | null): void {
     const { events, requestId } = this.#deps;
     events.info("hedge", {
--- a/src/direct/server_send.ts
+++ b/src/direct/server_send.ts
@@ -27,7 +27,6 @@
   readonly isCancelled: () => boolean;
   /** Called once, just before the request is sent. */
   readonly request: () => BackendRequest;
-  /** Called once, after `request`. */
   readonly createRelay: (connection: BackendConnection) => Relay;
 }
 
@@ -72,10 +71,15 @@
       return { type: "unreachable", reason: acquired.error };
     }
     const { connection } = acquired.value;
-    const result = await this.#relayOver(connection);
-    pool.release(server, connection);
-    placement.release(this.#abandonedAs ?? outcomeOf(result));
-    return result;
+    let outcome: Outcome = "neutral";
+    try {
+      const end = await this.#relayOver(connection);
+      outcome = this.#abandonedAs ?? outcomeOf(end);
+      return end;
+    } finally {
+      pool.release(server, connection);
+      placement.release(outcome);
+    }
   }
 
   async #relayOver(connection: BackendConnection): Promise<SendEnd> {
