Reset streams that end within an event

Callers saw: a stream that may not be resumed and ended within an event, by its last chunk, its length or the end of its connection, looked complete. A resumable route's own 400 became a 502: its JSON body counted as a partial event.

Cause: the router took only resumable responses for event streams, and those whatever their status and type. Whether a response is an event stream depends on the route and the response (2xx, text/event-stream or no type); whether it may be resumed is another question.

Why it works: each event stream is tracked. A stream that may not be resumed is still forwarded as it arrives; only its end changes. With a length, the chunk that would complete it is withheld, because the end can't be taken back.

--- a/src/direct/relay.ts
+++ b/src/direct/relay.ts
@@ -7,13 +7,19 @@
 } from "./backend_connection.ts";
 import { type CallerResponse, framingOf } from "./caller_response.ts";
 import type { Dialect, ResponseHeaders, ResponseTerms } from "./dialect.ts";
-import type { EventSplitter } from "./event_splitter.ts";
+import {
+  type EventSplitter,
+  EventTracker,
+  isEventStream,
+} from "./event_splitter.ts";
 
 /**
  * Longest response that is buffered until it is complete; until then a failed
  * send can still be retried.
  */
 const BUFFER_LIMIT_BYTES = 64 * 1024;
+/** Logged as the reason of a broken response. */
+const PARTIAL_EVENT = "The stream ended within an event";
 
 /** How a send ended. */
 export type SendResult =
@@ -60,6 +66,9 @@
   #status = 0;
   #headers: ResponseHeaders = {};
   #disposition: Disposition = "forward";
+  /** Finds the ends of events; null if the response isn't an event stream. */
+  #events: EventSplitter | EventTracker | null = null;
+  #receivedBytes = 0;
   #buffered: Buffer[] | null = null;
   #bufferedBytes = 0;
   #hasFirstByte = false;
@@ -136,8 +145,12 @@
     this.#headers = headers;
     this.#disposition = this.#dispositionOf(status, terms);
     if (this.#disposition !== "forward") return;
-    if (!this.#options.streaming) this.#buffered = [];
-    else if (this.#options.splitter === null) this.#startResponse();
+    const { streaming, splitter } = this.#options;
+    if (streaming && isEventStream(status, headers))
+      this.#events = splitter ?? new EventTracker();
+    if (!streaming) this.#buffered = [];
+    // A resumable stream starts with its first complete event.
+    else if (this.#events === null || splitter === null) this.#startResponse();
   }
 
   /** Why a response is invalid; null if it is valid. Logged as `reason`. */
@@ -161,9 +174,9 @@
   #dispositionOf(status: number, { notRun }: ResponseTerms): Disposition {
     if (notRun) return "not-run";
     const failed = status >= 500 && this.#options.withholdsFailures;
-    // A response that has started can only be resumed by a 2xx one.
+    // A response that has started can only be resumed by another stream.
     const cannotResume =
-      this.#response.hasStarted && (status < 200 || status >= 300);
+      this.#response.hasStarted && !isEventStream(status, this.#headers);
     return failed || cannotResume ? "failed" : "forward";
   }
 
@@ -184,8 +197,13 @@
   }
 
   #forward(controller: Controller, chunk: Buffer): void {
-    const { splitter } = this.#options;
-    const bytes = splitter === null ? chunk : splitter.push(chunk);
+    const bytes = this.#events?.push(chunk) ?? chunk;
+    this.#receivedBytes += chunk.length;
+    // The last byte of a response with a length makes it look complete.
+    if (this.#events?.hasPartialEvent && this.#hasFullLength) {
+      this.#break(PARTIAL_EVENT);
+      return;
+    }
     if (bytes.length === 0) return;
     this.#startResponse();
     if (this.#response.write(bytes)) return;
@@ -205,6 +223,11 @@
     this.#forward(controller, buffered);
   }
 
+  get #hasFullLength(): boolean {
+    const length = this.#headers["content-length"];
+    return length !== undefined && this.#receivedBytes >= Number(length);
+  }
+
   #startResponse(): void {
     if (!this.#response.hasStarted)
       this.#response.start(this.#status, this.#headers);
@@ -230,8 +253,8 @@
       default:
         this.#disposition satisfies never;
     }
-    if (this.#options.splitter?.hasPartialEvent) {
-      this.#break("The stream ended within an event");
+    if (this.#events?.hasPartialEvent) {
+      this.#break(PARTIAL_EVENT);
       return;
     }
     this.#finish(status);
--- a/tests/direct/response_end_test.ts
+++ b/tests/direct/response_end_test.ts
@@ -4,15 +4,26 @@
 import { afterEach, test } from "node:test";
 import { request } from "undici";
 import type { Route } from "../../src/routing/mod.ts";
-import type { Script } from "../../stand_ins/scripted_server.ts";
+import type {
+  ReceivedRequest,
+  Script,
+} from "../../stand_ins/scripted_server.ts";
 import { createConfiguration, createRoute } from "../support/routes.ts";
 import {
   createRouterFixture,
+  endStream,
   type RouterFixture,
   serverHeaders,
+  startStream,
 } from "./fixture.ts";
 
 const OVER_BUFFER_LIMIT_BYTES = 200_000;
+const ONE_EVENT = "id: 1\ndata: a\n\n";
+const ONE_EVENT_CRLF = "id: 1\r\ndata: a\r\n\r\n";
+const NOT_RESUMABLE = createRoute({
+  ...{ streaming: true, repetition: "non-idempotent", maxAttempts: 1 },
+});
+const RESUMABLE: Route = { ...NOT_RESUMABLE, repetition: "resumable" };
 
 let fixture: RouterFixture;
 
@@ -42,6 +53,21 @@
   return { status, text, end: "whole" };
 }
 
+function startUnframed(request: ReceivedRequest): void {
+  const head = `HTTP/1.1 200 OK\r\n${serverHeaders(request)}`;
+  request.socket.write(`${head}Content-Type: text/event-stream\r\n\r\n`);
+}
+
+/** Sends the pieces one after the other, then closes the connection. */
+function streamUnframed(...pieces: string[]): Script {
+  return (request) => {
+    startUnframed(request);
+    for (const [index, piece] of pieces.entries())
+      setTimeout(() => request.socket.write(piece), 20 * (index + 1));
+    setTimeout(() => request.socket.end(), 20 * (pieces.length + 1));
+  };
+}
+
 test("an unframed response that breaks off is not complete", async () => {
   const script: Script = (request) => {
     const head = `HTTP/1.1 200 OK\r\n${serverHeaders(request)}`;
@@ -61,3 +87,68 @@
   const expected = { status: 200, text: "fine", end: "whole" };
   assert.deepEqual(await call(), expected);
 });
+
+const endings = [
+  ["within a line", "id: 2\nda"],
+  ["without its blank line", "id: 2\ndata: b\n"],
+  ["within a CRLF blank line", "id: 2\r\ndata: b\r\n\r"],
+] as const;
+
+for (const [where, rest] of endings) {
+  test(`an unframed stream ending ${where} is reset`, async () => {
+    await start(streamUnframed(ONE_EVENT, rest), NOT_RESUMABLE);
+    const expected = { status: 200, text: ONE_EVENT + rest, end: "reset" };
+    assert.deepEqual(await call(), expected);
+  });
+
+  test(`a chunked stream ending ${where} is reset`, async () => {
+    const script: Script = (request) => {
+      startStream(request, ONE_EVENT + rest);
+      setTimeout(() => endStream(request), 20);
+    };
+    await start(script, NOT_RESUMABLE);
+    const expected = { status: 200, text: ONE_EVENT + rest, end: "reset" };
+    assert.deepEqual(await call(), expected);
+  });
+}
+
+test("a stream with a length that ends within an event is reset", async () => {
+  const text = `${ONE_EVENT}id: 2\nda`;
+  const script: Script = (request) => {
+    const head = `HTTP/1.1 200 OK\r\n${serverHeaders(request)}`;
+    const type = "Content-Type: text/event-stream\r\n";
+    const length = `Content-Length: ${text.length}\r\n\r\n`;
+    request.socket.write(`${head}${type}${length}${ONE_EVENT}`);
+    setTimeout(() => request.socket.write(text.slice(ONE_EVENT.length)), 20);
+  };
+  await start(script, NOT_RESUMABLE);
+  const { text: received, end } = await call();
+  assert.deepEqual([received, end], [ONE_EVENT, "reset"]);
+});
+
+for (const route of [NOT_RESUMABLE, RESUMABLE]) {
+  const kind = route.repetition;
+
+  test(`a ${kind} unframed stream of whole events is whole`, async () => {
+    await start(streamUnframed(ONE_EVENT, ONE_EVENT), route);
+    const expected = { status: 200, text: ONE_EVENT + ONE_EVENT, end: "whole" };
+    assert.deepEqual(await call(), expected);
+  });
+
+  test(`a ${kind} stream of split line ends is whole`, async () => {
+    const pieces = ONE_EVENT_CRLF.split(/(?<=\r)/);
+    await start(streamUnframed(...pieces, ONE_EVENT, "\n"), route);
+    const text = `${ONE_EVENT_CRLF}${ONE_EVENT}\n`;
+    assert.deepEqual(await call(), { status: 200, text, end: "whole" });
+  });
+
+  test(`a ${kind} stream's own 400 is no broken stream`, async () => {
+    const script: Script = (request) => {
+      const head = `HTTP/1.1 400 No\r\n${serverHeaders(request)}`;
+      request.socket.write(`${head}Content-Length: 4\r\n\r\n"no"`);
+    };
+    await start(script, route);
+    const expected = { status: 400, text: '"no"', end: "whole" };
+    assert.deepEqual(await call(), expected);
+  });
+}
