Limit what a server sends besides bodies

Callers saw: a request got its 504 only at its deadline, and the router parsed at full speed until then, while a server sent without end a status line, informational responses, empty lines or a chunk extension.

Cause: the HTTP client limits header and trailer lines (16 KiB) and nothing else besides bodies.

Evidence: of the cases of endless_bytes_test, these four failed before (504 for 502, after the deadline of 3 s). Header lines, one header line, trailers, bytes that are no HTTP and bytes after a complete response passed before and after.

--- a/src/direct/backend_connection.ts
+++ b/src/direct/backend_connection.ts
@@ -4,6 +4,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { type buildConnector, Client, type Dispatcher } from "undici";
 import type { BackendServer } from "../directory/mod.ts";
+import { OverheadLimit } from "./overhead_limit.ts";
 
 /**
  * Timeout of a connection attempt. Servers are a few milliseconds away, and a
@@ -26,11 +27,13 @@
 export class BackendConnection {
   readonly #client: Client;
   readonly #socket: Socket;
+  readonly #overheadLimit: OverheadLimit;
   #error: Error | null = null;
   #closed = false;
 
   private constructor(origin: string, socket: Socket) {
     this.#socket = socket;
+    this.#overheadLimit = new OverheadLimit(socket);
     socket.on("error", (error) => {
       this.#error = error;
     });
@@ -94,6 +97,7 @@
   /** Sends a request; the handler receives the response. */
   send(request: BackendRequest, handler: Dispatcher.DispatchHandler): void {
     const { method, path, headers, body } = request;
+    this.#overheadLimit.restart();
     this.#client.dispatch(
       {
         method: method as Dispatcher.HttpMethod,
@@ -101,7 +105,13 @@
         headers: [...headers],
         body: body.length === 0 ? null : body,
       },
-      handler,
+      {
+        ...handler,
+        onResponseData: (controller, chunk) => {
+          this.#overheadLimit.restart();
+          handler.onResponseData?.(controller, chunk);
+        },
+      },
     );
   }
 
