Stop reading a body that is discarded

Callers saw: a request whose server refused it without running it, with a body without end, got a 504 at its deadline (or a 502 once the server was silent) instead of the refusal or a retry at another server.

Cause: a response that is not forwarded was read to its end before its result counted, although its head has decided the result.

Evidence: two tests of endless_bytes_test failed before (504 for 503, 502 for 503). Why it works: after 64 KiB or 100 ms the connection is closed, and the result is the one of the head.

--- a/src/direct/relay.ts
+++ b/src/direct/relay.ts
@@ -18,6 +18,10 @@
  * send can still be retried.
  */
 const BUFFER_LIMIT_BYTES = 64 * 1024;
+/** Longest body that is read after its head has decided the result. */
+const DISCARD_LIMIT_BYTES = BUFFER_LIMIT_BYTES;
+/** Servers are a few milliseconds away; a short body comes with its head. */
+const DISCARD_TIMEOUT_MS = 100;
 /** Logged as the reason of a broken response. */
 const PARTIAL_EVENT = "The stream ended within an event";
 
@@ -71,6 +75,8 @@
   #receivedBytes = 0;
   #buffered: Buffer[] | null = null;
   #bufferedBytes = 0;
+  #discardedBytes = 0;
+  #discardTimer: NodeJS.Timeout | null = null;
   #hasFirstByte = false;
   #silenceTimer: NodeJS.Timeout | null = null;
 
@@ -93,6 +99,7 @@
       };
       this.#resolve = (result) => {
         this.#stopSilenceTimer();
+        if (this.#discardTimer !== null) clearTimeout(this.#discardTimer);
         cancelSignal.removeEventListener("abort", abort);
         resolve(result);
       };
@@ -144,7 +151,11 @@
     this.#status = status;
     this.#headers = headers;
     this.#disposition = this.#dispositionOf(status, terms);
-    if (this.#disposition !== "forward") return;
+    if (this.#disposition !== "forward") {
+      const stop = () => this.#stopDiscarding();
+      this.#discardTimer = setTimeout(stop, DISCARD_TIMEOUT_MS);
+      return;
+    }
     const { streaming, splitter } = this.#options;
     if (streaming && isEventStream(status, headers))
       this.#events = splitter ?? new EventTracker();
@@ -181,7 +192,12 @@
   }
 
   #onData(controller: Controller, chunk: Buffer): void {
-    if (this.#hasEnded || this.#disposition !== "forward") return;
+    if (this.#hasEnded) return;
+    if (this.#disposition !== "forward") {
+      this.#discardedBytes += chunk.length;
+      if (this.#discardedBytes > DISCARD_LIMIT_BYTES) this.#stopDiscarding();
+      return;
+    }
     this.#restartSilenceTimer();
     if (!this.#hasFirstByte) {
       this.#hasFirstByte = true;
@@ -260,6 +276,13 @@
     this.#finish(status);
   }
 
+  /** Closes the connection instead of reading a discarded body to its end. */
+  #stopDiscarding(): void {
+    if (this.#disposition === "forward") return;
+    this.#end({ type: this.#disposition, status: this.#status });
+    this.#connection.destroy();
+  }
+
   #finish(status: number): void {
     this.#startResponse();
     for (const bytes of this.#buffered ?? []) this.#response.write(bytes);
--- a/tests/direct/endless_bytes_test.ts
+++ b/tests/direct/endless_bytes_test.ts
@@ -119,6 +119,14 @@
     script: sendEndlessly((one) => `${chunked(one)}0\r\n`, "X-A: b\r\n"),
     status: 502,
   },
+  {
+    name: "the body of a refusal",
+    script: sendEndlessly(
+      (one) => `${head("503 Full", one)}X-Not-Executed: 1\r\n\r\n`,
+      "x",
+    ),
+    status: 503,
+  },
 ];
 
 for (const { name, script, status } of cases) {
@@ -140,6 +148,16 @@
   });
 }
 
+test("a refusal whose body never ends is a refusal", async () => {
+  const script: Script = (one) => {
+    const headers = `${head("503 Full", one)}X-Not-Executed: 1\r\n`;
+    one.socket.write(`${headers}Content-Length: 4\r\n\r\nno`);
+  };
+  fixture = await createRouterFixture({ scripts: [script] });
+  assert.equal((await call("/lookup/endless")).status, 503);
+  assert.equal(fixture.servers[0]?.closed, 1);
+});
+
 test("bytes without end after a response close its connection", async () => {
   const script = sendEndlessly(
     (one) => `${head("200 OK", one)}Content-Length: 4\r\n\r\nfine`,
