Limit the length of one event of a stream

Callers saw: a stream with an event without end went on until the deadline; of a resumable one the router kept every byte in memory.

Cause: neither the splitter nor the relay bounded a partial event.

Evidence: both tests "an event without end" of endless_bytes_test failed before (not cut within 2 s). Why it works: over 1 MiB the response counts as broken off: a resumable stream goes on at another server, others are reset. Measured: lint passes; tests/direct and tests/on_platform: 112 of 112 passed.

--- a/src/direct/relay.ts
+++ b/src/direct/relay.ts
@@ -18,6 +18,8 @@
  * send can still be retried.
  */
 const BUFFER_LIMIT_BYTES = 64 * 1024;
+/** Longest event of a stream; an event of a few tokens is under a kilobyte. */
+const EVENT_LIMIT_BYTES = 1024 * 1024;
 /** Longest body that is read after its head has decided the result. */
 const DISCARD_LIMIT_BYTES = BUFFER_LIMIT_BYTES;
 /** Servers are a few milliseconds away; a short body comes with its head. */
@@ -220,6 +222,10 @@
       this.#break(PARTIAL_EVENT);
       return;
     }
+    if ((this.#events?.partialBytes ?? 0) > EVENT_LIMIT_BYTES) {
+      this.#break(`An event is over ${EVENT_LIMIT_BYTES} bytes long`);
+      return;
+    }
     if (bytes.length === 0) return;
     this.#startResponse();
     if (this.#response.write(bytes)) return;
--- a/tests/direct/endless_bytes_test.ts
+++ b/tests/direct/endless_bytes_test.ts
@@ -158,6 +158,22 @@
   assert.equal(fixture.servers[0]?.closed, 1);
 });
 
+for (const repetition of ["non-idempotent", "resumable"] as const) {
+  test(`an event without end of a ${repetition} stream is cut`, async () => {
+    const route = createRoute({ repetition, maxAttempts: 1, streaming: true });
+    const configuration = createConfiguration({ routes: [route] });
+    const script = sendEndlessly(chunked, `100\r\n${"x".repeat(256)}\r\n`);
+    fixture = await createRouterFixture({ configuration, scripts: [script] });
+    const startMs = performance.now();
+    const { status, end } = await call("/lookup/endless");
+    assert.ok(status === 502 || end === "reset");
+    assert.ok(performance.now() - startMs < BOUND_MS);
+    await until("the connection is closed", BOUND_MS, {
+      holds: () => fixture.servers[0]?.closed === 1,
+    });
+  });
+}
+
 test("bytes without end after a response close its connection", async () => {
   const script = sendEndlessly(
     (one) => `${head("200 OK", one)}Content-Length: 4\r\n\r\nfine`,
