--- a/src/direct/event_splitter.ts
+++ b/src/direct/event_splitter.ts
@@ -1,6 +1,9 @@
 /** Splits an event stream so that only complete events are forwarded. */
 
+import type { ResponseHeaders } from "./dialect.ts";
+
 const LINE_FEED = 0x0a;
+const CARRIAGE_RETURN = 0x0d;
 const ID_LINE = /^id:\s?(.*)$/m;
 
 /** How far a stream has come, over all servers that it comes from. */
@@ -9,10 +12,58 @@
   lastId: string | null;
 }
 
+/** Finds where events end. */
+export class EventTracker {
+  #line: "empty" | "carriage-return" | "text" = "empty";
+  #partialBytes = 0;
+
+  /** Bytes of the event that is not complete yet. */
+  get partialBytes(): number {
+    return this.#partialBytes;
+  }
+
+  /** Whether the stream is within an event. */
+  get hasPartialEvent(): boolean {
+    return this.#partialBytes > 0;
+  }
+
+  /** Adds bytes; returns all of them. */
+  push(bytes: Buffer): Buffer {
+    this.endOfLastEvent(bytes);
+    return bytes;
+  }
+
+  /** Adds bytes; returns how many belong to complete events. */
+  endOfLastEvent(bytes: Buffer): number {
+    let end = 0;
+    let lineStart = 0;
+    for (;;) {
+      const lineEnd = bytes.indexOf(LINE_FEED, lineStart);
+      if (lineEnd === -1) break;
+      this.#extendLine(bytes, lineStart, lineEnd);
+      if (this.#line !== "text") end = lineEnd + 1;
+      this.#line = "empty";
+      lineStart = lineEnd + 1;
+    }
+    this.#extendLine(bytes, lineStart, bytes.length);
+    const carried = end === 0 ? this.#partialBytes : 0;
+    this.#partialBytes = carried + bytes.length - end;
+    return end;
+  }
+
+  #extendLine(bytes: Buffer, start: number, end: number): void {
+    if (start === end) return;
+    const isReturn = end - start === 1 && bytes[start] === CARRIAGE_RETURN;
+    this.#line =
+      this.#line === "empty" && isReturn ? "carriage-return" : "text";
+  }
+}
+
 /** Returns complete events; buffers the bytes of a partial one. */
 export class EventSplitter {
   readonly #progress: StreamProgress;
-  #partial: Buffer = Buffer.alloc(0);
+  readonly #tracker = new EventTracker();
+  #partial: Buffer[] = [];
 
   constructor(progress: StreamProgress) {
     this.#progress = progress;
@@ -20,32 +71,36 @@
 
   /** Whether a partial event is buffered. */
   get hasPartialEvent(): boolean {
-    return this.#partial.length > 0;
+    return this.#tracker.hasPartialEvent;
+  }
+
+  /** Bytes of the partial event. */
+  get partialBytes(): number {
+    return this.#tracker.partialBytes;
   }
 
   /** Adds bytes; returns the events that are complete now. */
   push(bytes: Buffer): Buffer {
-    const all =
-      this.#partial.length === 0
-        ? bytes
-        : Buffer.concat([this.#partial, bytes]);
-    const end = endOfLastEvent(all);
-    const complete = all.subarray(0, end);
-    this.#partial = all.subarray(end);
-    if (complete.length > 0)
-      this.#progress.lastId = lastIdIn(complete) ?? this.#progress.lastId;
+    const end = this.#tracker.endOfLastEvent(bytes);
+    if (end === 0) {
+      this.#partial.push(bytes);
+      return Buffer.alloc(0);
+    }
+    const complete = Buffer.concat([...this.#partial, bytes.subarray(0, end)]);
+    this.#partial = end < bytes.length ? [bytes.subarray(end)] : [];
+    this.#progress.lastId = lastIdIn(complete) ?? this.#progress.lastId;
     return complete;
   }
 }
 
-function endOfLastEvent(bytes: Buffer): number {
-  for (let i = bytes.length - 1; i > 0; i -= 1) {
-    if (bytes[i] !== LINE_FEED) continue;
-    if (bytes[i - 1] === LINE_FEED) return i + 1;
-    const isBlankCrLfLine = bytes[i - 1] === 0x0d && bytes[i - 2] === LINE_FEED;
-    if (isBlankCrLfLine) return i + 1;
-  }
-  return 0;
+/** Whether a response is an event stream, given that its route streams. */
+export function isEventStream(
+  status: number,
+  headers: ResponseHeaders,
+): boolean {
+  if (status < 200 || status >= 300) return false;
+  const type = headers["content-type"];
+  return type === undefined || String(type).startsWith("text/event-stream");
 }
 
 function lastIdIn(events: Buffer): string | null {
--- a/src/direct/relay.ts
+++ b/src/direct/relay.ts
@@ -7,13 +7,25 @@
 } from "./backend_connection.ts";
 import { type CallerResponse, framingOf } from "./caller_response.ts";
 import type { Dialect, ResponseHeaders, ResponseTerms } from "./dialect.ts";
-import type { EventSplitter } from "./event_splitter.ts";
+import {
+  type EventSplitter,
+  EventTracker,
+  isEventStream,
+} from "./event_splitter.ts";
 
 /**
  * Longest response that is buffered until it is complete; until then a failed
  * send can still be retried.
  */
 const BUFFER_LIMIT_BYTES = 64 * 1024;
+/** Longest event of a stream; an event of a few tokens is under a kilobyte. */
+const EVENT_LIMIT_BYTES = 1024 * 1024;
+/** Longest body that is read after its head has decided the result. */
+const DISCARD_LIMIT_BYTES = BUFFER_LIMIT_BYTES;
+/** Servers are a few milliseconds away; a short body comes with its head. */
+const DISCARD_TIMEOUT_MS = 100;
+/** Logged as the reason of a broken response. */
+const PARTIAL_EVENT = "The stream ended within an event";
 
 /** How a send ended. */
 export type SendResult =
@@ -68,8 +80,13 @@
   #status = 0;
   #headers: ResponseHeaders = {};
   #disposition: Disposition = "forward";
+  /** Finds the ends of events; null if the response isn't an event stream. */
+  #events: EventSplitter | EventTracker | null = null;
+  #receivedBytes = 0;
   #buffered: Buffer[] | null = null;
   #bufferedBytes = 0;
+  #discardedBytes = 0;
+  #discardTimer: NodeJS.Timeout | null = null;
   #hasFirstByte = false;
   #silenceTimer: NodeJS.Timeout | null = null;
   #isSilent = false;
@@ -93,6 +110,7 @@
       };
       this.#resolve = (result) => {
         this.#stopSilenceTimer();
+        if (this.#discardTimer !== null) clearTimeout(this.#discardTimer);
         cancelSignal.removeEventListener("abort", abort);
         resolve(result);
       };
@@ -157,13 +175,18 @@
     this.#status = status;
     this.#headers = headers;
     this.#disposition = this.#dispositionOf(status, terms);
-    if (this.#disposition !== "forward") return;
-    this.#noteActivity();
-    if (!this.#options.streaming) {
-      this.#buffered = [];
+    if (this.#disposition !== "forward") {
+      const stop = () => this.#stopDiscarding();
+      this.#discardTimer = setTimeout(stop, DISCARD_TIMEOUT_MS);
       return;
     }
-    if (this.#options.splitter === null) this.#startResponse();
+    this.#noteActivity();
+    const { streaming, splitter } = this.#options;
+    if (streaming && isEventStream(status, headers))
+      this.#events = splitter ?? new EventTracker();
+    if (!streaming) this.#buffered = [];
+    // A resumable stream starts with its first complete event.
+    else if (this.#events === null || splitter === null) this.#startResponse();
   }
 
   /** Why a response is invalid; null if it is valid. Logged as `reason`. */
@@ -187,15 +210,20 @@
   #dispositionOf(status: number, { notRun }: ResponseTerms): Disposition {
     if (notRun) return "not-run";
     const failed = status >= 500 && this.#options.withholdsFailures;
-    // A response that has started can only be resumed by a 2xx event stream.
+    // A response that has started can only be resumed by another stream.
     const canResume =
-      this.#options.splitter !== null && status >= 200 && status < 300;
+      this.#options.splitter !== null && isEventStream(status, this.#headers);
     const cannotResume = this.#response.hasStarted && !canResume;
     return failed || cannotResume ? "failed" : "forward";
   }
 
   #onData(controller: Controller, chunk: Buffer): void {
-    if (this.#hasEnded || this.#disposition !== "forward") return;
+    if (this.#hasEnded) return;
+    if (this.#disposition !== "forward") {
+      this.#discardedBytes += chunk.length;
+      if (this.#discardedBytes > DISCARD_LIMIT_BYTES) this.#stopDiscarding();
+      return;
+    }
     this.#noteActivity();
     if (!this.#hasFirstByte) {
       this.#hasFirstByte = true;
@@ -211,8 +239,17 @@
   }
 
   #forward(controller: Controller, chunk: Buffer): void {
-    const { splitter } = this.#options;
-    const bytes = splitter === null ? chunk : splitter.push(chunk);
+    const bytes = this.#events?.push(chunk) ?? chunk;
+    this.#receivedBytes += chunk.length;
+    // The last byte of a response with a length makes it look complete.
+    if (this.#events?.hasPartialEvent && this.#hasFullLength) {
+      this.#break(PARTIAL_EVENT);
+      return;
+    }
+    if ((this.#events?.partialBytes ?? 0) > EVENT_LIMIT_BYTES) {
+      this.#break(`An event is over ${EVENT_LIMIT_BYTES} bytes long`);
+      return;
+    }
     if (bytes.length === 0) return;
     this.#startResponse();
     if (this.#response.write(bytes)) return;
@@ -232,6 +269,11 @@
     this.#forward(controller, buffered);
   }
 
+  get #hasFullLength(): boolean {
+    const length = this.#headers["content-length"];
+    return length !== undefined && this.#receivedBytes >= Number(length);
+  }
+
   #startResponse(): void {
     this.#options.onClaim();
     if (!this.#response.hasStarted)
@@ -259,13 +301,20 @@
       default:
         this.#disposition satisfies never;
     }
-    if (this.#options.splitter?.hasPartialEvent) {
-      this.#break("The stream ended within an event");
+    if (this.#events?.hasPartialEvent) {
+      this.#break(PARTIAL_EVENT);
       return;
     }
     this.#finish(status);
   }
 
+  /** Closes the connection instead of reading a discarded body to its end. */
+  #stopDiscarding(): void {
+    if (this.#disposition === "forward") return;
+    this.#end({ type: this.#disposition, status: this.#status });
+    this.#connection.destroy();
+  }
+
   #finish(status: number): void {
     this.#startResponse();
     for (const bytes of this.#buffered ?? []) this.#response.write(bytes);
