Reset truncated responses at shutdown

What callers saw: a response without a length or chunks that was still running when the router closed its connections ended with a FIN, and so looked complete.

Cause: closeAllConnections() destroys sockets, which sends a FIN. The path for a defect in an exchange did the same with response.destroy().

Fix: connections with a response that has started and isn't flushed are reset first; the defect path resets as well. This includes responses that have ended but are still being written to a slow caller, whose exchange is over.

The defect path has no test.

--- a/src/direct/caller_response.ts
+++ b/src/direct/caller_response.ts
@@ -102,12 +102,16 @@
     this.#response.end();
   }
 
+  /** Resets the connection, so that a truncated response can't look complete. */
+  reset(): void {
+    this.#response.socket?.resetAndDestroy();
+  }
+
   /** Sends a failure, or resets the connection if the response has started. */
   fail(failure: Failure, dialect: Dialect): void {
     if (this.disconnectSignal.aborted) return;
     if (this.hasStarted) {
-      // Only a reset shows the caller that the response is truncated.
-      this.#response.socket?.resetAndDestroy();
+      this.reset();
       return;
     }
     this.#status = failure.status;
--- a/src/direct/caller_server.ts
+++ b/src/direct/caller_server.ts
@@ -6,6 +6,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import type { Socket } from "node:net";
 import type { QueueReport } from "../common/accept_queue.ts";
 import { listen } from "../common/listen.ts";
 import { OverloadGuard } from "../common/overload_guard.ts";
@@ -38,6 +39,8 @@
   readonly #deps: ExchangeDependencies;
   readonly #server: Server;
   readonly #exchanges = new Set<Exchange>();
+  /** Exchanges whose responses aren't flushed, by open connection. */
+  readonly #unflushed = new Map<Socket, Set<Exchange>>();
   readonly #guard: OverloadGuard;
   #stage: Stage = "open";
 
@@ -52,6 +55,10 @@
     this.#server = createServer(options, (request, response) => {
       void this.#serve(request, response);
     });
+    this.#server.on("connection", (socket) => {
+      this.#unflushed.set(socket, new Set());
+      socket.once("close", () => this.#unflushed.delete(socket));
+    });
     this.#guard = new OverloadGuard(this.#server, {
       clock,
       backlog: ACCEPT_BACKLOG,
@@ -101,6 +108,11 @@
 
   /** Closes all connections, also those with a request in progress. */
   closeAllConnections(): void {
+    for (const exchanges of this.#unflushed.values()) {
+      for (const { response } of exchanges) {
+        if (response.hasStarted) response.reset();
+      }
+    }
     this.#server.closeAllConnections();
   }
 
@@ -111,7 +123,10 @@
     const exchange = new Exchange(this.#deps, request, response);
     if (this.#stage !== "open") exchange.response.disableKeepAlive();
     this.#exchanges.add(exchange);
+    const unflushed = this.#unflushed.get(request.socket);
+    unflushed?.add(exchange);
     response.once("finish", () => this.#closeIfIdle(request));
+    response.once("close", () => unflushed?.delete(exchange));
     try {
       if (this.#stage === "closed") exchange.refuse("stopping");
       else await this.#runUnlessOverloaded(exchange);
@@ -119,7 +134,7 @@
       // A bug in one exchange must not end the process and other requests.
       const { message, stack } = error as Error;
       this.#deps.events.error("defect", { message, stack });
-      response.destroy();
+      exchange.response.reset();
     } finally {
       this.#exchanges.delete(exchange);
     }
