Refuse waiting requests before a router stops

What callers saw: requests that waited for a server when a stopping router reached its share of the grace were closed without a response, though a refusal would have been true.

Cause: DirectRouter.close() closed the connections while requests were still in the scheduler, whose close() only stopped its timer.

Fix: once the router has stopped listening, a request that waits is refused as soon as the time until the close is shorter than the share of its objective that the scheduler leaves to the server. What still waits or comes back at the close is refused then, before the connections are closed. Both are 503, not run, with the Retry-After of a stopping router; the exchange answers 502 if the request may have run.

--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -189,24 +189,27 @@
     this.#closing = true;
     const startedMs = this.#clock.monotonicMs();
     const graceMs = this.#settings.graceSeconds * MS_PER_SECOND;
-    const elapsedMs = () => this.#clock.monotonicMs() - startedMs;
+    const closeAtMs = startedMs + graceMs * DRAIN_GRACE_SHARE;
     this.#events.info("stop", { open: this.#callerServer.openRequests });
     this.#callerServer.disableKeepAlive();
     await sleep(Math.min(ACCEPT_AFTER_SIGNAL_MS, graceMs / 2));
     this.#callerServer.stopListening();
+    this.#scheduler.drain(closeAtMs);
     while (
       this.#callerServer.openRequests > 0 &&
-      elapsedMs() < graceMs * DRAIN_GRACE_SHARE
+      this.#clock.monotonicMs() < closeAtMs
     ) {
       await sleep(DRAIN_CHECK_INTERVAL_MS);
     }
+    this.#scheduler.close();
+    // Lets the last refusals be sent.
+    await sleep(DRAIN_CHECK_INTERVAL_MS);
     this.#events.info("stopped", { cut: this.#callerServer.openRequests });
     this.#callerServer.closeAllConnections();
     this.#readyEndpoint.close();
     this.#metricsEndpoint.close();
     this.#pool.close();
     this.#admissionClients.close();
-    this.#scheduler.close();
     if (this.#sweepTimer !== null) clearInterval(this.#sweepTimer);
     if (this.#teamLogTimer !== null) clearInterval(this.#teamLogTimer);
   }
--- a/src/scheduling/refusal.ts
+++ b/src/scheduling/refusal.ts
@@ -8,7 +8,7 @@
 import type { Demand } from "./demand.ts";
 
 /** Why a request is refused. */
-export type Reason = "no-server" | "no-room" | "too-late";
+export type Reason = "no-server" | "no-room" | "too-late" | "stopping";
 
 /** Whether a request may wait, decided on its arrival. */
 export interface ArrivalDecision {
@@ -27,6 +27,8 @@
 const RETRY_JITTER_SHARE = 0.5;
 /** Retry delay of a caller whose service has no server. */
 const NO_SERVER_RETRY_AFTER_MS = 500;
+/** Retry delay of a caller whose router stops: another one can serve it. */
+export const STOPPING_RETRY_AFTER_MS = 100;
 
 /** State on the arrival of a request. */
 export interface ArrivalContext {
@@ -52,6 +54,17 @@
   return { maxWaitMs, reason: "no-room", retryAfterMs };
 }
 
+/**
+ * Returns the latest time at which a request may be placed if connections are
+ * closed at `closeAtMs`: a server may take the rest of the objective.
+ */
+export function lastPlacementAtMs(
+  { objectiveMs }: Demand,
+  closeAtMs: number,
+): number {
+  return closeAtMs - objectiveMs * (1 - MAX_WAIT_SHARE);
+}
+
 /** Delay in milliseconds after which a refused caller should retry. */
 export function retryDelayMs({ objectiveMs }: Demand): number {
   return withJitter(objectiveMs * RETRY_AFTER_SHARE);
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -84,6 +84,9 @@
   readonly #pending = new Set<Request>();
   #table: RouteTable | null = null;
   #timer: NodeJS.Timeout | null = null;
+  /** Monotonic time at which the router closes its connections. */
+  #closeAtMs = Number.POSITIVE_INFINITY;
+  #closed = false;
 
   constructor(options: SchedulerOptions) {
     this.#options = options;
@@ -151,6 +154,7 @@
    * @param callerLeft aborted when the caller leaves
    */
   place(demand: Demand, callerLeft: AbortSignal): Promise<Decision> {
+    if (this.#closed) return Promise.resolve(refusedAsStopping(null));
     const nowMs = this.#nowMs;
     const { maxWaitMs, retryAfterMs, reason } = refusal.decideOnArrival(
       demand,
@@ -185,10 +189,17 @@
     for (const service of this.#queues.keys()) this.#dispatch(service);
   }
 
-  /** Stops the check timer. */
+  /** Refuses requests that wait once they can't be served by `closeAtMs`. */
+  drain(closeAtMs: number): void {
+    this.#closeAtMs = closeAtMs;
+    this.#check();
+  }
+
+  /** Refuses all requests that wait or arrive later. */
   close(): void {
-    if (this.#timer !== null) clearInterval(this.#timer);
-    this.#timer = null;
+    this.#closed = true;
+    for (const pending of [...this.#pending]) this.#refuseAsStopping(pending);
+    this.#stopTimer();
   }
 
   get #nowMs(): number {
@@ -348,23 +359,34 @@
   #check(): void {
     const nowMs = this.#nowMs;
     for (const pending of [...this.#pending]) {
-      if (nowMs >= pending.refuseAtMs) this.#refuse(pending);
+      const { demand, refuseAtMs } = pending;
+      const lastAtMs = refusal.lastPlacementAtMs(demand, this.#closeAtMs);
+      if (nowMs >= refuseAtMs) this.#refuse(pending);
+      else if (nowMs >= lastAtMs) this.#refuseAsStopping(pending);
       else this.#tryOtherEngine(pending, nowMs);
     }
     // The backoff of a server may have ended.
     this.dispatchAll();
-    if (this.#pending.size === 0) this.close();
+    if (this.#pending.size === 0) this.#stopTimer();
+  }
+
+  #stopTimer(): void {
+    if (this.#timer !== null) clearInterval(this.#timer);
+    this.#timer = null;
   }
 
   #refuse(pending: Request): void {
-    const { state, demand } = pending;
     this.#settle(pending, {
       ...{ type: "refused", reason: "no-room" },
-      retryAfterMs: refusal.retryDelayMs(demand),
-      awaitedServer: state.type === "awaiting-permit" ? state.server : null,
+      retryAfterMs: refusal.retryDelayMs(pending.demand),
+      awaitedServer: awaitedServerOf(pending),
     });
   }
 
+  #refuseAsStopping(pending: Request): void {
+    this.#settle(pending, refusedAsStopping(awaitedServerOf(pending)));
+  }
+
   /**
    * Requeues a request that has waited too long for a permit of one engine if
    * another engine is now the better choice.
@@ -427,3 +449,12 @@
     return rate;
   }
 }
+
+function awaitedServerOf({ state }: Request): string | null {
+  return state.type === "awaiting-permit" ? state.server : null;
+}
+
+function refusedAsStopping(awaitedServer: string | null): Decision {
+  const retryAfterMs = refusal.STOPPING_RETRY_AFTER_MS;
+  return { type: "refused", reason: "stopping", retryAfterMs, awaitedServer };
+}
