Flush ended responses before closing at shutdown

What callers saw: a response that a slow caller was still reading was truncated when its router stopped, with a FIN.

Cause: server.close() and closeIdleConnections() of node:http take a connection for idle once the response was ended, and destroy it though bytes wait in the process. The wait for open requests didn't count such responses either.

Evidence: slow_caller_at_shutdown_test.ts failed on 'Refuse waiting requests before a router stops' in 1 of 1 run: the last body had 6144 of 60000 bytes.

Fix: listening stops by close() of node:net; idle connections are closed when no ended response waits to be flushed; the shutdown waits for such responses until its share of the grace. One slow caller delays the closing of idle connections; requests on them are refused meanwhile.

Result: the test passes in 4 of 4 runs, one of them beside the others. Which of the two parts truncated the response was not separated.

--- a/src/direct/caller_response.ts
+++ b/src/direct/caller_response.ts
@@ -64,6 +64,11 @@
     return this.#status !== null;
   }
 
+  /** Whether the whole response was written; it may not be flushed yet. */
+  get hasEnded(): boolean {
+    return this.#response.writableEnded;
+  }
+
   /** Closes the connection after this response, unless headers were sent. */
   disableKeepAlive(): void {
     if (!this.#response.headersSent) this.#response.shouldKeepAlive = false;
--- a/src/direct/caller_server.ts
+++ b/src/direct/caller_server.ts
@@ -6,7 +6,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { Socket } from "node:net";
+import * as net from "node:net";
 import type { QueueReport } from "../common/accept_queue.ts";
 import { listen } from "../common/listen.ts";
 import { OverloadGuard } from "../common/overload_guard.ts";
@@ -40,7 +40,7 @@
   readonly #server: Server;
   readonly #exchanges = new Set<Exchange>();
   /** Exchanges whose responses aren't flushed, by open connection. */
-  readonly #unflushed = new Map<Socket, Set<Exchange>>();
+  readonly #unflushed = new Map<net.Socket, Set<Exchange>>();
   readonly #guard: OverloadGuard;
   #stage: Stage = "open";
 
@@ -71,6 +71,12 @@
     return this.#exchanges.size;
   }
 
+  /** Whether a request is in progress or a response isn't flushed. */
+  get isBusy(): boolean {
+    if (this.#exchanges.size > 0) return true;
+    return [...this.#unflushed.values()].some(({ size }) => size > 0);
+  }
+
   /** Whether it can take the callers that the load balancer sends. */
   get isReady(): boolean {
     return this.#stage === "open" && this.#guard.isReady;
@@ -102,8 +108,10 @@
   /** Accepts no more requests; closes connections as they become idle. */
   stopListening(): void {
     this.#stage = "closed";
-    this.#server.close();
-    this.#server.closeIdleConnections();
+    // Server.close() of node:http also destroys connections on which the end of
+    // a response isn't flushed.
+    net.Server.prototype.close.call(this.#server);
+    this.#closeIdleConnections();
   }
 
   /** Closes all connections, also those with a request in progress. */
@@ -126,7 +134,10 @@
     const unflushed = this.#unflushed.get(request.socket);
     unflushed?.add(exchange);
     response.once("finish", () => this.#closeIfIdle(request));
-    response.once("close", () => unflushed?.delete(exchange));
+    response.once("close", () => {
+      unflushed?.delete(exchange);
+      if (this.#stage === "closed") this.#closeIdleConnections();
+    });
     try {
       if (this.#stage === "closed") exchange.refuse("stopping");
       else await this.#runUnlessOverloaded(exchange);
@@ -177,6 +188,17 @@
     });
   }
 
+  /** Waits for responses that have ended to be flushed, then closes the idle. */
+  #closeIdleConnections(): void {
+    if (!this.#isFlushing()) this.#server.closeIdleConnections();
+  }
+
+  #isFlushing(): boolean {
+    return [...this.#unflushed.values()].some((exchanges) =>
+      [...exchanges].some(({ response }) => response.hasEnded),
+    );
+  }
+
   /**
    * Closes a connection whose response started before the shutdown, and so
    * without `Connection: close`.
--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -195,10 +195,7 @@
     await sleep(Math.min(ACCEPT_AFTER_SIGNAL_MS, graceMs / 2));
     this.#callerServer.stopListening();
     this.#scheduler.drain(closeAtMs);
-    while (
-      this.#callerServer.openRequests > 0 &&
-      this.#clock.monotonicMs() < closeAtMs
-    ) {
+    while (this.#callerServer.isBusy && this.#clock.monotonicMs() < closeAtMs) {
       await sleep(DRAIN_CHECK_INTERVAL_MS);
     }
     this.#scheduler.close();
