--- a/src/direct/caller_response.ts
+++ b/src/direct/caller_response.ts
@@ -64,6 +64,11 @@
     return this.#status !== null;
   }
 
+  /** Whether the whole response was written; it may not be flushed yet. */
+  get hasEnded(): boolean {
+    return this.#response.writableEnded;
+  }
+
   /** Closes the connection after this response, unless headers were sent. */
   disableKeepAlive(): void {
     if (!this.#response.headersSent) this.#response.shouldKeepAlive = false;
@@ -99,12 +104,16 @@
     this.#response.end();
   }
 
+  /** Resets the connection, so that a truncated response can't look complete. */
+  reset(): void {
+    this.#response.socket?.resetAndDestroy();
+  }
+
   /** Sends a failure, or resets the connection if the response has started. */
   fail(failure: Failure, dialect: Dialect): void {
     if (this.disconnectSignal.aborted) return;
     if (this.hasStarted) {
-      // Only a reset shows the caller that the response is truncated.
-      this.#response.socket?.resetAndDestroy();
+      this.reset();
       return;
     }
     this.#status = failure.status;
--- a/src/direct/caller_server.ts
+++ b/src/direct/caller_server.ts
@@ -6,6 +6,7 @@
   type Server,
   type ServerResponse,
 } from "node:http";
+import * as net from "node:net";
 import type { QueueReport } from "../common/accept_queue.ts";
 import { listen } from "../common/listen.ts";
 import { OverloadGuard } from "../common/overload_guard.ts";
@@ -38,6 +39,8 @@
   readonly #deps: ExchangeDependencies;
   readonly #server: Server;
   readonly #exchanges = new Set<Exchange>();
+  /** Exchanges whose responses aren't flushed, by open connection. */
+  readonly #unflushed = new Map<net.Socket, Set<Exchange>>();
   readonly #guard: OverloadGuard;
   #stage: Stage = "open";
 
@@ -52,6 +55,10 @@
     this.#server = createServer(options, (request, response) => {
       void this.#serve(request, response);
     });
+    this.#server.on("connection", (socket) => {
+      this.#unflushed.set(socket, new Set());
+      socket.once("close", () => this.#unflushed.delete(socket));
+    });
     this.#guard = new OverloadGuard(this.#server, {
       clock,
       backlog: ACCEPT_BACKLOG,
@@ -64,6 +71,12 @@
     return this.#exchanges.size;
   }
 
+  /** Whether a request is in progress or a response isn't flushed. */
+  get isBusy(): boolean {
+    if (this.#exchanges.size > 0) return true;
+    return [...this.#unflushed.values()].some(({ size }) => size > 0);
+  }
+
   /** Whether it can take the callers that the load balancer sends. */
   get isReady(): boolean {
     return this.#stage === "open" && this.#guard.isReady;
@@ -95,12 +108,19 @@
   /** Accepts no more requests; closes connections as they become idle. */
   stopListening(): void {
     this.#stage = "closed";
-    this.#server.close();
-    this.#server.closeIdleConnections();
+    // Server.close() of node:http also destroys connections on which the end of
+    // a response isn't flushed.
+    net.Server.prototype.close.call(this.#server);
+    this.#closeIdleConnections();
   }
 
   /** Closes all connections, also those with a request in progress. */
   closeAllConnections(): void {
+    for (const exchanges of this.#unflushed.values()) {
+      for (const { response } of exchanges) {
+        if (response.hasStarted) response.reset();
+      }
+    }
     this.#server.closeAllConnections();
   }
 
@@ -111,7 +131,13 @@
     const exchange = new Exchange(this.#deps, request, response);
     if (this.#stage !== "open") exchange.response.disableKeepAlive();
     this.#exchanges.add(exchange);
+    const unflushed = this.#unflushed.get(request.socket);
+    unflushed?.add(exchange);
     response.once("finish", () => this.#closeIfIdle(request));
+    response.once("close", () => {
+      unflushed?.delete(exchange);
+      if (this.#stage === "closed") this.#closeIdleConnections();
+    });
     try {
       if (this.#stage === "closed") exchange.refuse("stopping");
       else await this.#runUnlessOverloaded(exchange);
@@ -119,7 +145,7 @@
       // A bug in one exchange must not end the process and other requests.
       const { message, stack } = error as Error;
       this.#deps.events.error("defect", { message, stack });
-      response.destroy();
+      exchange.response.reset();
     } finally {
       this.#exchanges.delete(exchange);
     }
@@ -162,6 +188,17 @@
     });
   }
 
+  /** Waits for responses that have ended to be flushed, then closes the idle. */
+  #closeIdleConnections(): void {
+    if (!this.#isFlushing()) this.#server.closeIdleConnections();
+  }
+
+  #isFlushing(): boolean {
+    return [...this.#unflushed.values()].some((exchanges) =>
+      [...exchanges].some(({ response }) => response.hasEnded),
+    );
+  }
+
   /**
    * Closes a connection whose response started before the shutdown, and so
    * without `Connection: close`.
