Give an open request the time that a newer configuration allows

Cause: the deadline was fixed on admission. Now the route is looked up again when it passes; a longer limit extends it up to the caller's own, a shorter one applies to new requests only. The server keeps the limit that it was sent.

--- a/src/direct/admit.ts
+++ b/src/direct/admit.ts
@@ -51,7 +51,9 @@
   readonly body: Buffer;
   /** Monotonic time by which a response meets the route's latency objective. */
   readonly objectiveAtMs: number;
-  /** Monotonic time at which the caller gives up. */
+  /** Monotonic time of its arrival. */
+  readonly arrivedMs: number;
+  /** Monotonic time at which the caller or the route gives up. */
   readonly deadlineAtMs: number;
 }
 
@@ -85,6 +87,22 @@
   return authorize(deps, route.value, { ...read, ...options });
 }
 
+/**
+ * Monotonic time at which a request's deadline passes. A newer configuration may
+ * allow its route more time than the one under which it was admitted; one that
+ * allows less applies to new requests only.
+ */
+export function currentDeadlineAtMs(
+  { table }: ConfigurationState,
+  request: IncomingMessage,
+  { deadlineAtMs, terms, arrivedMs }: AdmittedRequest,
+): number {
+  const route = table === null ? null : findRoute(table, request);
+  if (route === null) return deadlineAtMs;
+  const waitMs = Math.min(terms.waitMs ?? route.timeoutMs, route.timeoutMs);
+  return Math.max(deadlineAtMs, arrivedMs + waitMs);
+}
+
 /** Failure of a request that was not run; another router may serve it. */
 export function unavailableHere(code: string): Failure {
   const sentence =
@@ -92,14 +110,26 @@
   return notRun(503, code, { sentence, retryAfterMs: SHORT_RETRY_AFTER_MS });
 }
 
-function routeOf(
+function findRoute(
   table: RouteTable,
   { url = "/", headers }: IncomingMessage,
-): Result<Route, Failure> {
+): Route | null {
+  return table.find(headers.host ?? "", pathOf(url));
+}
+
+function pathOf(url: string): string {
   const [path = "/"] = url.split("?");
-  const host = headers.host ?? "";
-  const route = table.find(host, path);
+  return path;
+}
+
+function routeOf(
+  table: RouteTable,
+  request: IncomingMessage,
+): Result<Route, Failure> {
+  const route = findRoute(table, request);
   if (route !== null) return ok(route);
+  const host = request.headers.host ?? "";
+  const path = pathOf(request.url ?? "/");
   const sentence = `No route matches path "${path}" of host "${host}"`;
   return err(badRequest(404, "unknown-route", { sentence }));
 }
@@ -124,7 +154,7 @@
   const elapsedMs =
     terms.waitMs === null ? 0 : callerWaits.elapsedMs(route.name, terms.waitMs);
   return ok({
-    ...{ route, terms, body, team: team.value },
+    ...{ route, terms, body, team: team.value, arrivedMs },
     service: destination.service,
     objectiveAtMs: arrivedMs - elapsedMs + route.objectiveMs,
     deadlineAtMs: arrivedMs + waitMs,
--- a/src/direct/exchange.ts
+++ b/src/direct/exchange.ts
@@ -24,6 +24,7 @@
 import {
   type AdmittedRequest,
   admit,
+  currentDeadlineAtMs,
   SHORT_RETRY_AFTER_MS,
   unavailableHere,
 } from "./admit.ts";
@@ -109,6 +110,7 @@
   /** The send to another server while one is silent. */
   #hedgeRetry: RetryReservation | null = null;
   #cachedFingerprint: string | null = null;
+  #deadlineTimer: NodeJS.Timeout | null = null;
   #hasReadTerms = false;
   #connectFailures = 0;
   #mayHaveRun = false;
@@ -177,16 +179,15 @@
   }
 
   async #serve(admitted: AdmittedRequest): Promise<void> {
-    const { clock, retryBudget, teamShares } = this.#deps;
-    const { route, service, deadlineAtMs } = admitted;
+    const { retryBudget, teamShares } = this.#deps;
+    const { route, service } = admitted;
     retryBudget.recordRequest(service);
     if (admitted.team !== null) {
       teamShares.add(admitted.team, costOf(admitted.terms));
     }
     if (this.#refuseIfQuarantined(admitted)) return;
     this.#progress = route.repetition === "resumable" ? { lastId: null } : null;
-    const remainingMs = deadlineAtMs - clock.monotonicMs();
-    const timer = setTimeout(() => this.#cancel.abort(), remainingMs);
+    this.#checkDeadline(admitted);
     const cancel = () => this.#cancel.abort();
     this.#response.disconnectSignal.addEventListener("abort", cancel, {
       once: true,
@@ -195,11 +196,28 @@
     try {
       while ((await this.#attempt(admitted)).type === "retry") {}
     } finally {
-      clearTimeout(timer);
+      if (this.#deadlineTimer !== null) clearTimeout(this.#deadlineTimer);
       this.#retry?.release();
     }
   }
 
+  /** Cancels the request once its deadline has passed. */
+  #checkDeadline(admitted: AdmittedRequest): void {
+    const { clock, configuration } = this.#deps;
+    const deadlineAtMs = currentDeadlineAtMs(
+      configuration,
+      this.#request,
+      admitted,
+    );
+    const remainingMs = deadlineAtMs - clock.monotonicMs();
+    if (remainingMs <= 0) this.#cancel.abort();
+    else {
+      const check = () => this.#checkDeadline(admitted);
+      // A timer may fire up to a millisecond early.
+      this.#deadlineTimer = setTimeout(check, Math.ceil(remainingMs));
+    }
+  }
+
   async #attempt(admitted: AdmittedRequest): Promise<Step> {
     const { scheduler } = this.#deps;
     const demand = this.#demand(admitted);
