Name the prompt parts in the line of a crash

server-crashed lines named whole requests only. The line now has `parts`, the shared parts of their prompts, eight at most.

--- a/src/direct/crash_detector.ts
+++ b/src/direct/crash_detector.ts
@@ -8,7 +8,6 @@
 
 import type { Clock } from "../common/clock.ts";
 import { type BackendServer, LAPSE_MS, startKeyOf } from "../directory/mod.ts";
-import type { Strike } from "../protocol/mod.ts";
 
 /**
  * A server that is unreachable within this time after a broken response counts
@@ -16,8 +15,22 @@
  */
 const CRASH_WINDOW_MS = 1_000;
 
-interface BrokenResponse {
+/** A request whose response broke off. */
+export interface BrokenRequest {
   readonly fingerprint: string;
+  /** Ids of the prompt parts that other requests may share. */
+  readonly parts: readonly string[];
+}
+
+/** Unexpected end of a server, and the requests that ran there. */
+export interface Crash {
+  /** Identifier of the crash, the same at all routers. */
+  readonly crash: string;
+  readonly requests: readonly BrokenRequest[];
+}
+
+interface BrokenResponse {
+  readonly request: BrokenRequest;
   readonly atMs: number;
 }
 
@@ -36,14 +49,13 @@
    * Records a request whose response broke off. Returns the crash if the server
    * is known to have ended.
    */
-  recordBroken(server: BackendServer, fingerprint: string): Strike | null {
+  recordBroken(server: BackendServer, request: BrokenRequest): Crash | null {
     const crash = startKeyOf(server);
-    if (this.#ended.has(crash))
-      return { type: "strike", crash, fingerprints: [fingerprint] };
+    if (this.#ended.has(crash)) return { crash, requests: [request] };
     const atMs = this.#clock.monotonicMs();
     this.#broken.set(crash, [
       ...this.#recent(server, LAPSE_MS),
-      { fingerprint, atMs },
+      { request, atMs },
     ]);
     return null;
   }
@@ -52,7 +64,7 @@
    * Records that a server is unreachable. Returns the crash and the requests
    * that ran then; null if no response has recently broken off.
    */
-  recordUnreachable(server: BackendServer): Strike | null {
+  recordUnreachable(server: BackendServer): Crash | null {
     return this.#take(server, CRASH_WINDOW_MS);
   }
 
@@ -66,11 +78,11 @@
    * requests that ran then; null if it was draining, or if no response has
    * recently broken off.
    */
-  recordLeft(server: BackendServer): Strike | null {
-    const strike = this.#take(server, LAPSE_MS);
+  recordLeft(server: BackendServer): Crash | null {
+    const crash = this.#take(server, LAPSE_MS);
     if (server.state === "draining") return null;
     this.#recordEnd(server);
-    return strike;
+    return crash;
   }
 
   #recordEnd(server: BackendServer): void {
@@ -82,14 +94,11 @@
   }
 
   /** Takes the responses that broke off within `windowMs`. */
-  #take(server: BackendServer, windowMs: number): Strike | null {
+  #take(server: BackendServer, windowMs: number): Crash | null {
     const crash = startKeyOf(server);
-    const fingerprints = this.#recent(server, windowMs).map(
-      (one) => one.fingerprint,
-    );
+    const requests = this.#recent(server, windowMs).map((one) => one.request);
     this.#broken.delete(crash);
-    if (fingerprints.length === 0) return null;
-    return { type: "strike", crash, fingerprints };
+    return requests.length === 0 ? null : { crash, requests };
   }
 
   #recent(server: BackendServer, windowMs: number): BrokenResponse[] {
--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -7,7 +7,6 @@
 import { type BackendServer, ServerDirectory } from "../directory/mod.ts";
 import { TeamShares, TeamTally } from "../fairness/mod.ts";
 import * as metrics from "../metrics/mod.ts";
-import type { Strike } from "../protocol/mod.ts";
 import { Quarantine } from "../quarantine/mod.ts";
 import { Scheduler } from "../scheduling/mod.ts";
 import type { Identity } from "../transport/mod.ts";
@@ -16,7 +15,11 @@
 import { CallerWaitEstimator } from "./caller_wait_estimator.ts";
 import { ConfigurationState } from "./configuration_state.ts";
 import { ConnectionPool } from "./connection_pool.ts";
-import { CrashDetector } from "./crash_detector.ts";
+import {
+  type BrokenRequest,
+  type Crash,
+  CrashDetector,
+} from "./crash_detector.ts";
 import { CrashProbe } from "./crash_probe.ts";
 import type { Dialect } from "./dialect.ts";
 import type { ConnectFailure } from "./exchange.ts";
@@ -48,8 +51,8 @@
 const DRAIN_CHECK_INTERVAL_MS = 20;
 /** Interval of the log lines that tell what became of each team's requests. */
 const TEAM_LOG_INTERVAL_MS = 1_000;
-/** Fingerprints in the log line of a crash. */
-const LOGGED_FINGERPRINTS = 8;
+/** Fingerprints, and prompt parts, in the log line of a crash. */
+const LOGGED_SUSPECTS = 8;
 /** Teams per interval that are logged. */
 const LOGGED_TEAMS = 8;
 const DIRECTORY_SWEEP_INTERVAL_MS = 100;
@@ -126,8 +129,7 @@
       teamTally: this.#teamTally,
       teamShares: new TeamShares(clock),
       callerWaits: new CallerWaitEstimator(),
-      onBroken: (server, fingerprint) =>
-        this.#handleBroken(server, fingerprint),
+      onBroken: (server, request) => this.#handleBroken(server, request),
       onUnreachable: (server, failure) =>
         this.#handleUnreachable(server, failure),
     });
@@ -263,10 +265,10 @@
       this.#events.info("team-load", { team, ...counts });
   }
 
-  #handleBroken(server: BackendServer, fingerprint: string): void {
-    const strike = this.#crashDetector.recordBroken(server, fingerprint);
-    if (strike === null) void this.#crashProbe.probe(server);
-    else this.#handleCrash(strike);
+  #handleBroken(server: BackendServer, request: BrokenRequest): void {
+    const crash = this.#crashDetector.recordBroken(server, request);
+    if (crash === null) void this.#crashProbe.probe(server);
+    else this.#handleCrash(crash);
   }
 
   #handleUnreachable(
@@ -278,14 +280,22 @@
     this.#handleCrash(this.#crashDetector.recordUnreachable(server));
   }
 
-  #handleCrash(strike: Strike | null): void {
-    if (strike === null) return;
+  #handleCrash(found: Crash | null): void {
+    if (found === null) return;
+    const { crash } = found;
+    const fingerprints = found.requests.map((one) => one.fingerprint);
+    const strike = { type: "strike" as const, crash, fingerprints };
     this.#quarantine.strike(strike);
     this.#admissionClients.sendStrike(strike);
-    const { crash, fingerprints } = strike;
-    const ran = fingerprints.length;
-    const requests = fingerprints.slice(0, LOGGED_FINGERPRINTS).join(" ");
-    this.#events.warn("server-crashed", { crash, ran, requests });
+    this.#logCrash(found);
+  }
+
+  #logCrash({ crash, requests }: Crash): void {
+    this.#events.warn("server-crashed", {
+      ...{ crash, ran: requests.length },
+      requests: listed(requests.map((one) => one.fingerprint)),
+      parts: listed(requests.flatMap((one) => one.parts)),
+    });
   }
 
   #handleAdmissionChange(): void {
@@ -299,6 +309,11 @@
   }
 }
 
+/** Returns the first of some ids for a log line, each once. */
+function listed(ids: readonly string[]): string {
+  return [...new Set(ids)].slice(0, LOGGED_SUSPECTS).join(" ");
+}
+
 function retryLimitsOf({
   ratio,
   windowSeconds,
--- a/src/direct/exchange.ts
+++ b/src/direct/exchange.ts
@@ -21,6 +21,7 @@
   type Outcome,
   type Placement,
   type Scheduler,
+  sharedParts,
 } from "../scheduling/mod.ts";
 import {
   type AdmittedRequest,
@@ -32,6 +33,7 @@
 import type { CallerWaitEstimator } from "./caller_wait_estimator.ts";
 import type { ConfigurationState } from "./configuration_state.ts";
 import type { ConnectionPool } from "./connection_pool.ts";
+import type { BrokenRequest } from "./crash_detector.ts";
 import type { Dialect } from "./dialect.ts";
 import { EventSplitter } from "./event_splitter.ts";
 import { Relay, type SendResult } from "./relay.ts";
@@ -63,7 +65,7 @@
   readonly teamShares: TeamShares;
   readonly callerWaits: CallerWaitEstimator;
   /** Called when a response of a server has broken off. */
-  onBroken(server: BackendServer, fingerprint: string): void;
+  onBroken(server: BackendServer, request: BrokenRequest): void;
   /** Called when no connection to a server can be opened. */
   onUnreachable(server: BackendServer, failure: ConnectFailure): void;
 }
@@ -315,7 +317,9 @@
       ...{ request: this.#record.logFields.id, fingerprint },
       ...{ server: server.id, reason },
     });
-    this.#deps.onBroken(server, fingerprint);
+    const parts = sharedParts(admitted.terms.prompt?.parts ?? []);
+    const ids = parts.map(({ id }) => id);
+    this.#deps.onBroken(server, { fingerprint, parts: ids });
   }
 
   /** No timeout for requests that may not be repeated on another server. */
--- a/tests/direct/parts_test.ts
+++ b/tests/direct/parts_test.ts
@@ -4,7 +4,10 @@
 import { test } from "node:test";
 import { EventLog } from "../../src/common/event_log.ts";
 import { ConfigurationState } from "../../src/direct/configuration_state.ts";
-import { CrashDetector } from "../../src/direct/crash_detector.ts";
+import {
+  type BrokenRequest,
+  CrashDetector,
+} from "../../src/direct/crash_detector.ts";
 import { EventSplitter } from "../../src/direct/event_splitter.ts";
 import { RetryBudget } from "../../src/direct/retry_budget.ts";
 import { createManualClock } from "../support/manual_clock.ts";
@@ -85,21 +88,25 @@
   assert.equal(splitter.lastId, "2");
 });
 
+function brokenRequest(fingerprint: string): BrokenRequest {
+  return { fingerprint, parts: [`part of ${fingerprint}`] };
+}
+
 test("a broken response is a crash once its server is unreachable", () => {
   const clock = createManualClock();
   const detector = new CrashDetector(clock);
   const server = createServer();
   assert.equal(detector.recordUnreachable(server), null);
-  detector.recordBroken(server, "f1");
-  const strike = detector.recordUnreachable(server);
-  assert.deepEqual(strike?.fingerprints, ["f1"]);
+  detector.recordBroken(server, brokenRequest("f1"));
+  const crash = detector.recordUnreachable(server);
+  assert.deepEqual(crash?.requests, [brokenRequest("f1")]);
   assert.equal(detector.recordUnreachable(server), null);
 });
 
 test("a response that broke more than a second before is no crash", () => {
   const clock = createManualClock();
   const detector = new CrashDetector(clock);
-  detector.recordBroken(createServer(), "f1");
+  detector.recordBroken(createServer(), brokenRequest("f1"));
   clock.advance(1_001);
   assert.equal(detector.recordUnreachable(createServer()), null);
 });
@@ -108,23 +115,25 @@
   const clock = createManualClock();
   const detector = new CrashDetector(clock);
   const server = createServer();
-  detector.recordBroken(server, "f1");
+  detector.recordBroken(server, brokenRequest("f1"));
   clock.advance(4_500);
-  assert.deepEqual(detector.recordLeft(server)?.fingerprints, ["f1"]);
-  assert.deepEqual(detector.recordBroken(server, "f2")?.fingerprints, ["f2"]);
+  const first = brokenRequest("f1");
+  assert.deepEqual(detector.recordLeft(server)?.requests, [first]);
+  const second = brokenRequest("f2");
+  assert.deepEqual(detector.recordBroken(server, second)?.requests, [second]);
 });
 
 test("a broken response is no crash if the server drains or comes back", () => {
   const clock = createManualClock();
   const detector = new CrashDetector(clock);
   const draining = createServer({ state: "draining" });
-  detector.recordBroken(draining, "f1");
+  detector.recordBroken(draining, brokenRequest("f1"));
   assert.equal(detector.recordLeft(draining), null);
-  assert.equal(detector.recordBroken(draining, "f2"), null);
+  assert.equal(detector.recordBroken(draining, brokenRequest("f2")), null);
   const lapsed = createServer({ id: "s2" });
   assert.equal(detector.recordLeft(lapsed), null);
   detector.recordJoined(lapsed);
-  assert.equal(detector.recordBroken(lapsed, "f3"), null);
+  assert.equal(detector.recordBroken(lapsed, brokenRequest("f3")), null);
 });
 
 test("the event log drops lines when its reader has stopped", () => {
