Reproduce crashes by one part of the prompts

Requests that share one part of the prompt and nothing else crash every server: 12 sends of the part to 12 servers, where the rule allows 8 (three after the fifth crash); afterwards sound requests get 503.

--- a/stand_ins/scripted_server.ts
+++ b/stand_ins/scripted_server.ts
@@ -39,6 +39,11 @@
     return (this.#server.address() as AddressInfo).port;
   }
 
+  /** Whether it listens: it has neither crashed nor not started yet. */
+  get isListening(): boolean {
+    return this.#server.listening;
+  }
+
   /** Listens on a free port of loopback. */
   async listen(): Promise<void> {
     await new Promise<void>((resolve) => {
--- a/tests/direct/fixture.ts
+++ b/tests/direct/fixture.ts
@@ -14,7 +14,11 @@
 import { createConfiguration } from "../support/routes.ts";
 import { createServer } from "../support/servers.ts";
 
-const events = new EventLog("test", (_text, done) => done(null));
+/** Secret that the processes of a test share. */
+export const FLEET_KEY = "key of the test fleet";
+
+/** A log that is discarded. */
+export const events = new EventLog("test", (_text, done) => done(null));
 
 /** A running router and its backend servers. */
 export interface RouterFixture {
@@ -35,6 +39,8 @@
   readonly scripts?: readonly Script[];
   /** Time that the router may take to shut down. */
   readonly graceSeconds?: number;
+  /** Port of the admission processes; none listens on the default. */
+  readonly gatePort?: number;
 }
 
 /**
@@ -42,20 +48,40 @@
  * every 100 ms, as by a reachable store.
  */
 export async function createRouterFixture({
-  configuration = createConfiguration(),
   scripts = [respondCompletely],
-  graceSeconds = 0.2,
+  ...options
 }: RouterFixtureOptions): Promise<RouterFixture> {
+  const servers = scripts.map((script) => new ScriptedServer(script));
+  for (const server of servers) await server.listen();
+  const running = await startRouter(servers, options);
+  return {
+    ...running,
+    close: async () => {
+      for (const server of servers) server.crash();
+      await running.close();
+    },
+  };
+}
+
+/** Starts a router before servers that run already; `close` leaves them. */
+export async function startRouter(
+  servers: readonly ScriptedServer[],
+  {
+    configuration = createConfiguration(),
+    graceSeconds = 0.2,
+    gatePort = 1,
+  }: Omit<RouterFixtureOptions, "scripts">,
+): Promise<RouterFixture> {
   const [port = 0, readyPort = 0] = await freePorts(2);
   const router = new DirectRouter(
     {
-      instance: "router-1",
+      instance: `router-${port}`,
       availabilityZone: "a",
       entry: `127.0.0.1:${port}`,
       ready: `127.0.0.1:${readyPort}`,
       registry: "127.0.0.1:1",
-      gatePort: 1,
-      fleetKey: "key of the test fleet",
+      gatePort,
+      fleetKey: FLEET_KEY,
       graceSeconds,
       revocationMs: 5_000,
       noticeMs: 3_000,
@@ -63,11 +89,10 @@
     },
     { events, dialect: headerDialect },
   );
-  const servers = scripts.map((script) => new ScriptedServer(script));
-  for (const server of servers) await server.listen();
   if (configuration !== null) router.configure(configuration);
   for (const [index, server] of servers.entries()) {
-    announceServer(router, `s${index + 1}`, server.port);
+    if (server.isListening)
+      announceServer(router, `s${index + 1}`, server.port);
   }
   await router.start();
   const confirmTimer = setInterval(() => confirmConfiguration(router), 100);
@@ -76,7 +101,6 @@
     ...{ router, servers, port, readyPort },
     close: async () => {
       clearInterval(confirmTimer);
-      for (const server of servers) server.crash();
       await router.close();
     },
   };
