Find the part of the prompts that crashes servers

Cause: a strike counted against the whole request (team, path, body). Class of fault: evidence kept under a key that is narrower than what it is about.

A crash now counts against each request and each shared part that hadn't been answered for 250 ms. The suspect in the most crashes, three or more, explains them, and they no longer count against others. Suspects that can't be told apart are refused only together, so a team or a first part isn't refused alone. A sound response clears what it holds, at all routers. After a refusal of 60 s one request at a time tries, so that a wrong conclusion ends. Routers give what they know to admission controllers that connect, and old crashes are swept, which nothing did in routers before.

The messages crash-report and sound-report replace strike between routers and admission controllers; side processes keep theirs. A peer of an older version closes the connection on the first of them and dials again; until all are updated, routers go on with a share of such engines after a crash, and crashes aren't shared between versions.

--- a/src/admission/admission_process.ts
+++ b/src/admission/admission_process.ts
@@ -3,8 +3,13 @@
 import { randomUUID } from "node:crypto";
 import { systemClock } from "../common/clock.ts";
 import type { EventLog } from "../common/event_log.ts";
-import type { ServerReport, Strike, TeamUsage } from "../protocol/mod.ts";
-import { Quarantine } from "../quarantine/mod.ts";
+import type {
+  CrashReport,
+  ServerReport,
+  SoundReport,
+  TeamUsage,
+} from "../protocol/mod.ts";
+import { CrashEvidence } from "../quarantine/mod.ts";
 import type { PromptPart } from "../scheduling/mod.ts";
 import {
   type Connection,
@@ -34,7 +39,7 @@
   readonly #settings: AdmissionSettings;
   readonly #events: EventLog;
   readonly #controller = new AdmissionController(systemClock);
-  readonly #quarantine = new Quarantine(systemClock);
+  readonly #crashEvidence = new CrashEvidence(systemClock);
   readonly #sessions = new Set<RouterSession>();
   readonly #listener: Listener;
   readonly #reportedUsageByTeam = new Map<string, number>();
@@ -82,10 +87,10 @@
       () => this.#controller.admitQueued(),
       ADMISSION_INTERVAL_MS,
     );
-    this.#teamLogTimer = setInterval(
-      () => this.#logTeams(),
-      TEAM_LOG_INTERVAL_MS,
-    );
+    this.#teamLogTimer = setInterval(() => {
+      this.#logTeams();
+      this.#crashEvidence.sweep();
+    }, TEAM_LOG_INTERVAL_MS);
     this.#events.info("start", { instance, service });
   }
 
@@ -109,10 +114,11 @@
   async #serve(connection: Connection): Promise<void> {
     const { instance } = connection.peer;
     const session = new RouterSession(connection, this.#controller, {
-      onStrike: (strike) => this.#relayStrike(strike, session),
+      onReport: (report) => this.#relayReport(report, session),
     });
     this.#sessions.add(session);
-    for (const strike of this.#quarantine.strikes()) session.sendStrike(strike);
+    for (const report of this.#crashEvidence.reports())
+      session.sendReport(report);
     session.sendReport(this.#createReport([...this.#controller.recentUsage]));
     this.#events.info("router-connected", { router: instance });
     await session.serve();
@@ -121,11 +127,23 @@
     this.#events.warn("router-lost", { router: instance, reason });
   }
 
-  /** Routers have no connections to each other, so strikes are relayed here. */
-  #relayStrike(strike: Strike, from: RouterSession): void {
-    this.#quarantine.strike(strike);
+  /** Routers have no connections to each other, so reports are relayed here. */
+  #relayReport(report: CrashReport | SoundReport, from: RouterSession): void {
+    if (!this.#recordReport(report)) return;
     for (const session of this.#sessions) {
-      if (session !== from) session.sendStrike(strike);
+      if (session !== from) session.sendReport(report);
+    }
+  }
+
+  /** Returns whether a report says anything new. */
+  #recordReport(report: CrashReport | SoundReport): boolean {
+    switch (report.type) {
+      case "crash-report":
+        return this.#crashEvidence.addCrash(report);
+      case "sound-report":
+        return this.#crashEvidence.addSound(report.suspects, report).length > 0;
+      default:
+        return report satisfies never;
     }
   }
 
--- a/src/admission/router_session.ts
+++ b/src/admission/router_session.ts
@@ -1,6 +1,11 @@
 /** One router's connection to the admission controller of an engine. */
 
-import type { Message, ServerReport, Strike } from "../protocol/mod.ts";
+import type {
+  CrashReport,
+  Message,
+  ServerReport,
+  SoundReport,
+} from "../protocol/mod.ts";
 import type { Connection } from "../transport/mod.ts";
 import type { PermitReceiver } from "./admission_queue.ts";
 import type { AdmissionController } from "./controller.ts";
@@ -9,16 +14,20 @@
 export class RouterSession implements PermitReceiver {
   readonly #connection: Connection;
   readonly #controller: AdmissionController;
-  readonly #onStrike: (strike: Strike) => void;
+  readonly #onReport: (report: CrashReport | SoundReport) => void;
 
   constructor(
     connection: Connection,
     controller: AdmissionController,
-    { onStrike }: { readonly onStrike: (strike: Strike) => void },
+    {
+      onReport,
+    }: {
+      readonly onReport: (report: CrashReport | SoundReport) => void;
+    },
   ) {
     this.#connection = connection;
     this.#controller = controller;
-    this.#onStrike = onStrike;
+    this.#onReport = onReport;
   }
 
   /** Serves the connection until it closes, then drops the router's work. */
@@ -36,16 +45,11 @@
     this.#connection.send({ type: "permit", ask, uncachedTokens });
   }
 
-  /** Sends the engine's load. */
-  sendReport(report: ServerReport): void {
+  /** Sends the engine's load, or what another router has reported. */
+  sendReport(report: ServerReport | CrashReport | SoundReport): void {
     this.#connection.send(report);
   }
 
-  /** Sends the fingerprints of requests that ran when a server crashed. */
-  sendStrike(strike: Strike): void {
-    this.#connection.send(strike);
-  }
-
   #handle(message: Message): void {
     switch (message.type) {
       case "engine-terms":
@@ -66,8 +70,9 @@
       case "finished":
         this.#controller.finish(this, message.ask, message.outcome);
         return;
-      case "strike":
-        this.#onStrike(message);
+      case "crash-report":
+      case "sound-report":
+        this.#onReport(message);
         return;
       case "heartbeat":
         return;
--- a/src/direct/admission_client.ts
+++ b/src/direct/admission_client.ts
@@ -4,6 +4,7 @@
 import type { EventLog } from "../common/event_log.ts";
 import { RecentUsage } from "../fairness/mod.ts";
 import type {
+  CrashReport,
   EngineConfiguration,
   Message,
   PackedPart,
@@ -11,7 +12,7 @@
   PermitOutcome,
   RunningRequest,
   ServerReport,
-  Strike,
+  SoundReport,
 } from "../protocol/mod.ts";
 import {
   costOf,
@@ -38,8 +39,10 @@
   readonly owner: ConnectionOwner;
   /** Engine configuration to send; null while it isn't known. */
   readonly engineConfiguration: () => EngineConfiguration | null;
-  /** Called when another router reports a crash. */
-  readonly onStrike: (strike: Strike) => void;
+  /** Crashes to send to a new admission controller. */
+  readonly crashReports: () => readonly CrashReport[];
+  /** Called when another router reports a crash or a sound response. */
+  readonly onReport: (report: CrashReport | SoundReport) => void;
   /** Called on a new report and on a lost connection. */
   readonly onChange: () => void;
 }
@@ -102,9 +105,9 @@
     if (configuration !== null) this.#connection?.send(configuration);
   }
 
-  /** Reports a crash, which is passed on to the other routers. */
-  sendStrike(strike: Strike): void {
-    this.#connection?.send(strike);
+  /** Reports a crash or a sound response to the other routers. */
+  sendReport(report: CrashReport | SoundReport): void {
+    this.#connection?.send(report);
   }
 
   usageOf(team: string): number {
@@ -150,6 +153,7 @@
     for (const [ask, permitted] of this.#permittedRequests) {
       connection.send(runningRequestMessage(ask, permitted));
     }
+    for (const report of this.#deps.crashReports()) connection.send(report);
     // "Gate" in log events means the admission controller.
     this.#deps.events.info("gate-connected", { gate });
     for await (const message of connection.messages) {
@@ -178,8 +182,9 @@
         }
         this.#deps.onChange();
         return;
-      case "strike":
-        this.#deps.onStrike(message);
+      case "crash-report":
+      case "sound-report":
+        this.#deps.onReport(message);
         return;
       case "heartbeat":
         return;
--- a/src/direct/admission_clients.ts
+++ b/src/direct/admission_clients.ts
@@ -3,7 +3,11 @@
 import type { Clock } from "../common/clock.ts";
 import type { EventLog } from "../common/event_log.ts";
 import type { BackendServer } from "../directory/mod.ts";
-import type { EngineConfiguration, Strike } from "../protocol/mod.ts";
+import type {
+  CrashReport,
+  EngineConfiguration,
+  SoundReport,
+} from "../protocol/mod.ts";
 import type { RouteTable } from "../routing/mod.ts";
 import type { EngineAdmission } from "../scheduling/mod.ts";
 import { type Identity, Traffic } from "../transport/mod.ts";
@@ -25,8 +29,10 @@
   expectedTokensPerMs(service: string): number;
   /** Called on a new report and on a lost connection. */
   onChange(): void;
-  /** Called when another router reports a crash. */
-  onStrike(strike: Strike): void;
+  /** Crashes to send to a new admission controller. */
+  crashReports(): readonly CrashReport[];
+  /** Called when another router reports a crash or a sound response. */
+  onReport(report: CrashReport | SoundReport): void;
 }
 
 /** Client and servers of one host; an admission controller serves its host. */
@@ -90,9 +96,9 @@
       client.sendEngineConfiguration();
   }
 
-  /** Reports a crash to all routers, through every controller. */
-  sendStrike(strike: Strike): void {
-    for (const { client } of this.#entries.values()) client.sendStrike(strike);
+  /** Reports to all routers, through every controller. */
+  sendReport(report: CrashReport | SoundReport): void {
+    for (const { client } of this.#entries.values()) client.sendReport(report);
   }
 
   /** Closes all connections. */
@@ -110,7 +116,8 @@
       owner: { clock, traffic: this.#traffic, configurationVersion },
       engineConfiguration: () => this.#engineConfiguration(host),
       onChange: () => this.#callbacks.onChange(),
-      onStrike: (strike) => this.#callbacks.onStrike(strike),
+      crashReports: () => this.#callbacks.crashReports(),
+      onReport: (report) => this.#callbacks.onReport(report),
     });
   }
 
--- a/src/direct/crash_detector.ts
+++ b/src/direct/crash_detector.ts
@@ -18,7 +18,7 @@
 /** A request whose response broke off. */
 export interface BrokenRequest {
   readonly fingerprint: string;
-  /** Ids of the prompt parts that other requests may share. */
+  /** Ids of the prompt parts that may have crashed the server. */
   readonly parts: readonly string[];
 }
 
@@ -26,6 +26,8 @@
 export interface Crash {
   /** Identifier of the crash, the same at all routers. */
   readonly crash: string;
+  /** Time since the first broken response. */
+  readonly ageMs: number;
   readonly requests: readonly BrokenRequest[];
 }
 
@@ -51,8 +53,8 @@
    */
   recordBroken(server: BackendServer, request: BrokenRequest): Crash | null {
     const crash = startKeyOf(server);
-    if (this.#ended.has(crash)) return { crash, requests: [request] };
     const atMs = this.#clock.monotonicMs();
+    if (this.#ended.has(crash)) return { crash, ageMs: 0, requests: [request] };
     this.#broken.set(crash, [
       ...this.#recent(server, LAPSE_MS),
       { request, atMs },
@@ -96,9 +98,12 @@
   /** Takes the responses that broke off within `windowMs`. */
   #take(server: BackendServer, windowMs: number): Crash | null {
     const crash = startKeyOf(server);
-    const requests = this.#recent(server, windowMs).map((one) => one.request);
+    const broken = this.#recent(server, windowMs);
     this.#broken.delete(crash);
-    return requests.length === 0 ? null : { crash, requests };
+    const [first] = broken;
+    if (first === undefined) return null;
+    const ageMs = this.#clock.monotonicMs() - first.atMs;
+    return { crash, ageMs, requests: broken.map((one) => one.request) };
   }
 
   #recent(server: BackendServer, windowMs: number): BrokenResponse[] {
--- /dev/null
+++ b/src/direct/crash_guard.ts
@@ -0,0 +1,184 @@
+/** Keeps requests that crash servers from reaching further ones. */
+
+import type { Clock } from "../common/clock.ts";
+import type { EventLog } from "../common/event_log.ts";
+import type { BackendServer, DirectoryChange } from "../directory/mod.ts";
+import type { CrashReport, SoundReport } from "../protocol/mod.ts";
+import {
+  CrashBreaker,
+  type CrashCause,
+  CrashEvidence,
+} from "../quarantine/mod.ts";
+import type { ConnectionPool } from "./connection_pool.ts";
+import {
+  type BrokenRequest,
+  type Crash,
+  CrashDetector,
+} from "./crash_detector.ts";
+import { CrashProbe } from "./crash_probe.ts";
+import type { ConnectFailure } from "./exchange.ts";
+
+/** Fingerprints, prompt parts or crashes in one log line. */
+const LOGGED_IDS = 8;
+
+/** Dependencies of a crash guard. */
+export interface CrashGuardDependencies {
+  readonly clock: Clock;
+  readonly events: EventLog;
+  readonly pool: ConnectionPool;
+  /** Sends a report to the other routers. */
+  send(report: CrashReport | SoundReport): void;
+}
+
+/** Detects crashes, shares them with other routers, and refuses causes. */
+export class CrashGuard {
+  readonly #deps: CrashGuardDependencies;
+  readonly #detector: CrashDetector;
+  readonly #evidence: CrashEvidence;
+  readonly #breaker: CrashBreaker;
+  readonly #probe: CrashProbe;
+  readonly #loggedCauses = new Set<string>();
+
+  constructor(deps: CrashGuardDependencies) {
+    const { clock, pool } = deps;
+    this.#deps = deps;
+    this.#detector = new CrashDetector(clock);
+    this.#evidence = new CrashEvidence(clock);
+    this.#breaker = new CrashBreaker(clock, this.#evidence);
+    this.#probe = new CrashProbe({
+      pool,
+      onUnreachable: (server, reason) =>
+        this.handleUnreachable(server, { reason, request: null }),
+    });
+  }
+
+  /** Number of requests and prompt parts that ran in a crash. */
+  get suspects(): number {
+    return this.#evidence.suspects.size;
+  }
+
+  /** Number of known causes of crashes. */
+  get causes(): number {
+    return this.#breaker.causes.length;
+  }
+
+  /** Crashes to send to a new admission controller. */
+  reports(): CrashReport[] {
+    return this.#evidence.reports();
+  }
+
+  /** Returns the cause for which a request is refused; null if there is none. */
+  refusal(suspects: readonly string[], holder: object): CrashCause | null {
+    return this.#breaker.refusal(suspects, holder);
+  }
+
+  /** Ends the trial of a request that was let through. */
+  endTrial(holder: object): void {
+    this.#breaker.endTrial(holder);
+  }
+
+  /** Records a response that broke off. */
+  handleBroken(server: BackendServer, request: BrokenRequest): void {
+    const crash = this.#detector.recordBroken(server, request);
+    if (crash === null) void this.#probe.probe(server);
+    else this.#handleCrash(crash);
+  }
+
+  /** Records that no connection to a server can be opened. */
+  handleUnreachable(
+    server: BackendServer,
+    { reason, request }: ConnectFailure,
+  ): void {
+    const fields = { request, server: server.id, reason };
+    this.#deps.events.warn("server-unreachable", fields);
+    this.#handleCrash(this.#detector.recordUnreachable(server));
+  }
+
+  /** Records that a server has joined or left the directory. */
+  handleChange({ type, server }: DirectoryChange): void {
+    if (type === "joined") this.#detector.recordJoined(server);
+    if (type === "left") this.#handleCrash(this.#detector.recordLeft(server));
+  }
+
+  #handleCrash(found: Crash | null): void {
+    if (found === null) return;
+    this.#logCrash(found);
+    // Requests that hadn't begun go first: reports are bounded.
+    const requests = [...found.requests]
+      .sort((a, b) => Number(b.parts.length > 0) - Number(a.parts.length > 0))
+      .map(({ fingerprint, parts }) => [fingerprint, parts] as const);
+    const { crash, ageMs } = found;
+    if (!this.#evidence.addCrash({ crash, ageMs, requests })) return;
+    const report = this.#evidence.reportOf(crash);
+    if (report !== null) this.#deps.send(report);
+    this.#logCauses();
+  }
+
+  /** Records sound responses; other routers learn of those that clear. */
+  recordSound(suspects: readonly string[]): void {
+    const cleared = this.#evidence.addSound(suspects);
+    if (cleared.length === 0) return;
+    this.#deps.send({ type: "sound-report", suspects: cleared, ageMs: 0 });
+    this.#logCauses();
+  }
+
+  /** Records what another router has reported. */
+  receive(report: CrashReport | SoundReport): void {
+    switch (report.type) {
+      case "crash-report":
+        this.#receiveCrash(report);
+        break;
+      case "sound-report":
+        this.#evidence.addSound(report.suspects, report);
+        break;
+      default:
+        report satisfies never;
+    }
+    this.#logCauses();
+  }
+
+  #receiveCrash(report: CrashReport): void {
+    if (!this.#evidence.addCrash(report)) return;
+    const sound = this.#evidence.soundAmong(report);
+    if (sound !== null) this.#deps.send(sound);
+  }
+
+  /** Drops old crashes; must be called periodically. */
+  sweep(): void {
+    this.#evidence.sweep();
+  }
+
+  #logCrash({ crash, requests }: Crash): void {
+    this.#deps.events.warn("server-crashed", {
+      ...{ crash, ran: requests.length },
+      requests: listed(requests.map((one) => one.fingerprint)),
+      parts: listed(requests.flatMap((one) => one.parts)),
+    });
+  }
+
+  #logCauses(): void {
+    const { causes } = this.#breaker;
+    const keys = new Set(causes.map(nameOf));
+    for (const key of this.#loggedCauses) {
+      if (keys.has(key)) continue;
+      this.#loggedCauses.delete(key);
+      this.#deps.events.info("crash-cause-cleared", { cause: key });
+    }
+    for (const cause of causes) {
+      const key = nameOf(cause);
+      if (this.#loggedCauses.has(key)) continue;
+      this.#loggedCauses.add(key);
+      const crashes = listed(cause.crashes.map(({ id }) => id));
+      this.#deps.events.warn("crash-cause", { cause: key, crashes });
+    }
+  }
+}
+
+/** Returns the suspects of a cause for a log line. */
+export function nameOf({ suspects }: CrashCause): string {
+  return listed(suspects);
+}
+
+function listed(ids: readonly string[]): string {
+  return [...new Set(ids)].slice(0, LOGGED_IDS).join(", ");
+}
--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -4,10 +4,9 @@
 import { systemClock } from "../common/clock.ts";
 import type { EventLog } from "../common/event_log.ts";
 import { sleep } from "../common/promises.ts";
-import { type BackendServer, ServerDirectory } from "../directory/mod.ts";
+import { ServerDirectory } from "../directory/mod.ts";
 import { TeamShares, TeamTally } from "../fairness/mod.ts";
 import * as metrics from "../metrics/mod.ts";
-import { Quarantine } from "../quarantine/mod.ts";
 import { Scheduler } from "../scheduling/mod.ts";
 import type { Identity } from "../transport/mod.ts";
 import { AdmissionClients } from "./admission_clients.ts";
@@ -15,14 +14,8 @@
 import { CallerWaitEstimator } from "./caller_wait_estimator.ts";
 import { ConfigurationState } from "./configuration_state.ts";
 import { ConnectionPool } from "./connection_pool.ts";
-import {
-  type BrokenRequest,
-  type Crash,
-  CrashDetector,
-} from "./crash_detector.ts";
-import { CrashProbe } from "./crash_probe.ts";
+import { CrashGuard } from "./crash_guard.ts";
 import type { Dialect } from "./dialect.ts";
-import type { ConnectFailure } from "./exchange.ts";
 import { MonitoringEndpoint } from "./monitoring_endpoint.ts";
 import { RetryBudget, type RetryLimits } from "./retry_budget.ts";
 import { type DirectRouterSettings, parseAddress } from "./settings.ts";
@@ -40,22 +33,14 @@
 const ACCEPT_AFTER_SIGNAL_MS = 2_500;
 /** Share of the grace period after which open connections are closed. */
 const DRAIN_GRACE_SHARE = 0.93;
-/**
- * Crashes after which a request is quarantined. Each crash counts against all
- * requests that ran on the server, and occasional crashes must not quarantine
- * innocent ones.
- */
-const QUARANTINE_STRIKES = 3;
 /** Age that is reported for a configuration that was never confirmed. */
 const MAX_REPORTED_AGE_S = 1e6;
 const DRAIN_CHECK_INTERVAL_MS = 20;
 /** Interval of the log lines that tell what became of each team's requests. */
 const TEAM_LOG_INTERVAL_MS = 1_000;
-/** Fingerprints, and prompt parts, in the log line of a crash. */
-const LOGGED_SUSPECTS = 8;
 /** Teams per interval that are logged. */
 const LOGGED_TEAMS = 8;
-const DIRECTORY_SWEEP_INTERVAL_MS = 100;
+const SWEEP_INTERVAL_MS = 100;
 const MS_PER_SECOND = 1_000;
 
 /** One router. Call `start`, then `close`. */
@@ -72,15 +57,7 @@
   readonly #scheduler: Scheduler;
   readonly #retryBudget: RetryBudget;
   readonly #pool = new ConnectionPool();
-  readonly #quarantine = new Quarantine(systemClock, {
-    strikesLimit: QUARANTINE_STRIKES,
-  });
-  readonly #crashDetector = new CrashDetector(systemClock);
-  readonly #crashProbe = new CrashProbe({
-    pool: this.#pool,
-    onUnreachable: (server, reason) =>
-      this.#handleUnreachable(server, { reason, request: null }),
-  });
+  readonly #crashGuard: CrashGuard;
   readonly #callerServer: CallerServer;
   readonly #readyEndpoint: MonitoringEndpoint;
   readonly #metricsEndpoint: MonitoringEndpoint;
@@ -111,9 +88,14 @@
         expectedTokensPerMs: (service) =>
           this.#scheduler.expectedTokensPerMs(service),
         onChange: () => this.#handleAdmissionChange(),
-        onStrike: (strike) => this.#quarantine.strike(strike),
+        crashReports: () => this.#crashGuard.reports(),
+        onReport: (report) => this.#crashGuard.receive(report),
       },
     );
+    this.#crashGuard = new CrashGuard({
+      ...{ clock, events, pool: this.#pool },
+      send: (report) => this.#admissionClients.sendReport(report),
+    });
     this.#scheduler = new Scheduler({
       ...{ clock, availabilityZone },
       admissionOf: (server) => this.#admissionClients.of(server),
@@ -124,14 +106,11 @@
       scheduler: this.#scheduler,
       pool: this.#pool,
       retryBudget: this.#retryBudget,
-      quarantine: this.#quarantine,
+      crashGuard: this.#crashGuard,
       metrics: this.#metrics,
       teamTally: this.#teamTally,
       teamShares: new TeamShares(clock),
       callerWaits: new CallerWaitEstimator(),
-      onBroken: (server, request) => this.#handleBroken(server, request),
-      onUnreachable: (server, failure) =>
-        this.#handleUnreachable(server, failure),
     });
     const sources = {
       ready: () => this.#isReady(),
@@ -156,10 +135,10 @@
     if (metrics !== undefined) {
       await this.#metricsEndpoint.listen(parseAddress(metrics));
     }
-    this.#sweepTimer = setInterval(
-      () => this.directory.sweep(),
-      DIRECTORY_SWEEP_INTERVAL_MS,
-    );
+    this.#sweepTimer = setInterval(() => {
+      this.directory.sweep();
+      this.#crashGuard.sweep();
+    }, SWEEP_INTERVAL_MS);
     this.#teamLogTimer = setInterval(
       () => this.#logTeams(),
       TEAM_LOG_INTERVAL_MS,
@@ -229,7 +208,8 @@
       () => this.#pool.connectAttempts,
     );
     registry.gauge("oriole_routers", () => this.#scheduler.routers);
-    registry.gauge("oriole_quarantined", () => this.#quarantine.size);
+    registry.gauge("oriole_quarantined", () => this.#crashGuard.suspects);
+    registry.gauge("oriole_crash_causes", () => this.#crashGuard.causes);
     registry.gauge(
       "oriole_configuration_version",
       () => this.configuration.table?.version ?? 0,
@@ -246,12 +226,10 @@
       const fields = { change: change.type, server: id, service, state };
       this.#events.info("server", fields);
       this.#scheduler.apply(change);
-      if (change.type === "joined")
-        this.#crashDetector.recordJoined(change.server);
+      this.#crashGuard.handleChange(change);
       if (change.type !== "left") return;
       this.#pool.closeIdle(change.server);
       this.#admissionClients.removeServer(change.server);
-      this.#handleCrash(this.#crashDetector.recordLeft(change.server));
     });
   }
 
@@ -265,39 +243,6 @@
       this.#events.info("team-load", { team, ...counts });
   }
 
-  #handleBroken(server: BackendServer, request: BrokenRequest): void {
-    const crash = this.#crashDetector.recordBroken(server, request);
-    if (crash === null) void this.#crashProbe.probe(server);
-    else this.#handleCrash(crash);
-  }
-
-  #handleUnreachable(
-    server: BackendServer,
-    { reason, request }: ConnectFailure,
-  ): void {
-    const fields = { request, server: server.id, reason };
-    this.#events.warn("server-unreachable", fields);
-    this.#handleCrash(this.#crashDetector.recordUnreachable(server));
-  }
-
-  #handleCrash(found: Crash | null): void {
-    if (found === null) return;
-    const { crash } = found;
-    const fingerprints = found.requests.map((one) => one.fingerprint);
-    const strike = { type: "strike" as const, crash, fingerprints };
-    this.#quarantine.strike(strike);
-    this.#admissionClients.sendStrike(strike);
-    this.#logCrash(found);
-  }
-
-  #logCrash({ crash, requests }: Crash): void {
-    this.#events.warn("server-crashed", {
-      ...{ crash, ran: requests.length },
-      requests: listed(requests.map((one) => one.fingerprint)),
-      parts: listed(requests.flatMap((one) => one.parts)),
-    });
-  }
-
   #handleAdmissionChange(): void {
     this.#retryBudget.setRouterCount(this.#scheduler.routers);
     this.#scheduler.dispatchAll();
@@ -309,11 +254,6 @@
   }
 }
 
-/** Returns the first of some ids for a log line, each once. */
-function listed(ids: readonly string[]): string {
-  return [...new Set(ids)].slice(0, LOGGED_SUSPECTS).join(" ");
-}
-
 function retryLimitsOf({
   ratio,
   windowSeconds,
--- a/src/direct/exchange.ts
+++ b/src/direct/exchange.ts
@@ -7,7 +7,6 @@
 import type { BackendServer } from "../directory/mod.ts";
 import type { TeamShares, TeamTally } from "../fairness/mod.ts";
 import type { MetricsRegistry } from "../metrics/registry.ts";
-import { fingerprintOf, type Quarantine } from "../quarantine/mod.ts";
 import {
   deadlinePassed,
   type Failure,
@@ -21,7 +20,6 @@
   type Outcome,
   type Placement,
   type Scheduler,
-  sharedParts,
 } from "../scheduling/mod.ts";
 import {
   type AdmittedRequest,
@@ -34,11 +32,14 @@
 import type { ConfigurationState } from "./configuration_state.ts";
 import type { ConnectionPool } from "./connection_pool.ts";
 import type { BrokenRequest } from "./crash_detector.ts";
+import { type CrashGuard, nameOf } from "./crash_guard.ts";
 import type { Dialect } from "./dialect.ts";
 import { EventSplitter } from "./event_splitter.ts";
 import { Relay, type SendResult } from "./relay.ts";
 import { RequestRecord } from "./request_record.ts";
+import { ResponseProgress } from "./response_progress.ts";
 import type { RetryBudget } from "./retry_budget.ts";
+import { SuspectRequest } from "./suspect_request.ts";
 
 /**
  * Silence timeout as a multiple of the route's latency objective: a server that
@@ -59,15 +60,11 @@
   readonly scheduler: Scheduler;
   readonly pool: ConnectionPool;
   readonly retryBudget: RetryBudget;
-  readonly quarantine: Quarantine;
+  readonly crashGuard: CrashGuard;
   readonly metrics: MetricsRegistry;
   readonly teamTally: TeamTally;
   readonly teamShares: TeamShares;
   readonly callerWaits: CallerWaitEstimator;
-  /** Called when a response of a server has broken off. */
-  onBroken(server: BackendServer, request: BrokenRequest): void;
-  /** Called when no connection to a server can be opened. */
-  onUnreachable(server: BackendServer, failure: ConnectFailure): void;
 }
 
 /** A failed attempt to connect to a server. */
@@ -98,7 +95,7 @@
   readonly #triedServers = new Set<string>();
   #splitter: EventSplitter | null = null;
   readonly #record: RequestRecord;
-  #cachedFingerprint: string | null = null;
+  #suspect: SuspectRequest | null = null;
   #hasReadTerms = false;
   #connectFailures = 0;
   #mayHaveRun = false;
@@ -187,6 +184,7 @@
       while ((await this.#attempt(admitted)).type === "retry") {}
     } finally {
       clearTimeout(timer);
+      this.#suspect?.end();
     }
   }
 
@@ -206,13 +204,14 @@
 
   /** Refuses the request and returns true if it is quarantined. */
   #refuseIfQuarantined(admitted: AdmittedRequest): boolean {
-    const { quarantine, events } = this.#deps;
-    if (quarantine.size === 0) return false;
-    const fingerprint = this.#fingerprint(admitted);
-    if (quarantine.trust(fingerprint) !== "refused") return false;
+    const suspect = this.#suspectOf(admitted);
+    const refused = suspect.refusal();
+    if (refused === null) return false;
     const request = this.#record.logFields.id;
-    events.info("quarantined", { request, fingerprint });
-    const sentence = "Quarantined: the request crashed several servers";
+    const { fingerprint } = suspect;
+    const cause = nameOf(refused);
+    this.#deps.events.info("quarantined", { request, fingerprint, cause });
+    const sentence = "Quarantined: requests like this crashed several servers";
     const retryAfterMs = QUARANTINE_RETRY_AFTER_MS;
     this.#fail(
       this.#mayHaveRun || this.#response.hasStarted
@@ -222,10 +221,12 @@
     return true;
   }
 
-  #fingerprint({ team, body }: AdmittedRequest): string {
+  #suspectOf({ team, body, terms }: AdmittedRequest): SuspectRequest {
     const path = this.#request.url ?? "/";
-    this.#cachedFingerprint ??= fingerprintOf({ team: team ?? "", path, body });
-    return this.#cachedFingerprint;
+    this.#suspect ??= new SuspectRequest(this.#deps.crashGuard, {
+      ...{ team, path, body, prompt: terms.prompt },
+    });
+    return this.#suspect;
   }
 
   #demand(admitted: AdmittedRequest): Demand {
@@ -288,12 +289,15 @@
       return DONE;
     }
     this.#recordSend(admitted, server.id);
+    const suspect = this.#suspectOf(admitted);
+    const progress = new ResponseProgress(this.#deps.clock);
     const relay = new Relay(this.#response, connection, {
       requestId: admitted.terms.id,
       dialect: this.#deps.dialect,
       withholdsFailures: this.#isRepeatable(admitted),
       splitter: this.#splitter,
       streaming: admitted.route.streaming,
+      onData: () => suspect.recordData(progress),
       onFirstByte: () => this.#recordFirstByte(placement),
       silenceTimeoutMs: this.#silenceTimeoutMs(admitted),
     });
@@ -301,25 +305,26 @@
     const result = await relay.run(request, this.#cancel.signal);
     pool.release(server, connection);
     placement.release(outcomeOf(result));
-    if (result.type === "broken")
-      this.#recordBroken(admitted, server, result.reason);
+    suspect.recordEnd(result, progress);
+    if (result.type === "broken") {
+      const broken = suspect.brokenRequest(progress);
+      this.#recordBroken(server, broken, result.reason);
+    }
     return this.#handleSendResult(admitted, result);
   }
 
   #recordBroken(
-    admitted: AdmittedRequest,
     server: BackendServer,
+    broken: BrokenRequest,
     reason: string,
   ): void {
-    const { events } = this.#deps;
-    const fingerprint = this.#fingerprint(admitted);
+    const { events, crashGuard } = this.#deps;
+    const { fingerprint } = broken;
     events.warn("response-broken", {
       ...{ request: this.#record.logFields.id, fingerprint },
       ...{ server: server.id, reason },
     });
-    const parts = sharedParts(admitted.terms.prompt?.parts ?? []);
-    const ids = parts.map(({ id }) => id);
-    this.#deps.onBroken(server, { fingerprint, parts: ids });
+    crashGuard.handleBroken(server, broken);
   }
 
   /** No timeout for requests that may not be repeated on another server. */
@@ -357,7 +362,7 @@
 
   #handleConnectFailure(server: BackendServer, reason: string): Step {
     const request = this.#record.logFields.id;
-    this.#deps.onUnreachable(server, { reason, request });
+    this.#deps.crashGuard.handleUnreachable(server, { reason, request });
     this.#connectFailures += 1;
     if (this.#connectFailures < CONNECT_FAILURE_LIMIT) return RETRY;
     this.#fail(
--- a/src/direct/relay.ts
+++ b/src/direct/relay.ts
@@ -41,6 +41,8 @@
   readonly streaming: boolean;
   /** Time without data after which the send fails; null for no timeout. */
   readonly silenceTimeoutMs: number | null;
+  /** Called on all data of the body. */
+  readonly onData: () => void;
   /** Called on the first byte of the body. */
   readonly onFirstByte: () => void;
 }
@@ -170,6 +172,7 @@
   #onData(controller: Controller, chunk: Buffer): void {
     if (this.#hasEnded || this.#disposition !== "forward") return;
     this.#restartSilenceTimer();
+    this.#options.onData();
     if (!this.#hasFirstByte) {
       this.#hasFirstByte = true;
       this.#options.onFirstByte();
--- a/src/protocol/message.ts
+++ b/src/protocol/message.ts
@@ -37,7 +37,12 @@
   KeyUpdateConfirmation,
 } from "./idempotency_messages.ts";
 import type { LedgerUpdate } from "./ledger_messages.ts";
-import type { Strike, StrikeClearance } from "./quarantine_messages.ts";
+import type {
+  CrashReport,
+  SoundReport,
+  Strike,
+  StrikeClearance,
+} from "./quarantine_messages.ts";
 import type {
   Acknowledgement,
   AttemptFailure,
@@ -93,6 +98,8 @@
   | KeyAnswer
   | Strike
   | StrikeClearance
+  | CrashReport
+  | SoundReport
   | EngineConfiguration
   | PermitRequest
   | RunningRequest
--- a/src/protocol/quarantine_messages.ts
+++ b/src/protocol/quarantine_messages.ts
@@ -14,3 +14,27 @@
   readonly type: "clear";
   readonly fingerprint: string;
 }
+
+/** A request that ran in a crash, and its prompt parts that are suspects. */
+export type SuspectRequest = readonly [
+  fingerprint: string,
+  parts: readonly string[],
+];
+
+/** Reports a crash of a server to the routers that share it. */
+export interface CrashReport {
+  readonly type: "crash-report";
+  /** Identifier of the crash; repeated reports of it are merged. */
+  readonly crash: string;
+  /** Time since the crash. */
+  readonly ageMs: number;
+  readonly requests: readonly SuspectRequest[];
+}
+
+/** Reports that suspects of crashes have had a sound response. */
+export interface SoundReport {
+  readonly type: "sound-report";
+  readonly suspects: readonly string[];
+  /** Time since the responses. */
+  readonly ageMs: number;
+}
--- a/src/protocol/schema.ts
+++ b/src/protocol/schema.ts
@@ -38,6 +38,9 @@
 });
 
 const parts = { type: "array", maxItems: 1_000, items: tuple(text, count) };
+/** Bounded by what a process stores of one crash. */
+const suspectList = { type: "array", maxItems: 256 };
+const suspectTexts = { ...suspectList, items: text };
 const teams = { type: "array", items: tuple(text, amount) };
 const prompt = { team: text, parts, outputTokens: amount };
 
@@ -117,6 +120,12 @@
   },
   strike: { crash: text, fingerprints: { type: "array", items: text } },
   clear: { fingerprint: text },
+  "crash-report": {
+    crash: text,
+    ageMs: amount,
+    requests: { ...suspectList, items: tuple(text, suspectTexts) },
+  },
+  "sound-report": { suspects: suspectTexts, ageMs: amount },
   "engine-terms": {
     version: count,
     server: text,
--- a/src/quarantine/mod.ts
+++ b/src/quarantine/mod.ts
@@ -1,3 +1,10 @@
 /** Quarantine of requests that crash backend servers. */
 
+export type { CrashCause } from "./crash_attribution.ts";
+export { CrashBreaker } from "./crash_breaker.ts";
+export {
+  CrashEvidence,
+  partSuspect,
+  requestSuspect,
+} from "./crash_evidence.ts";
 export { fingerprintOf, Quarantine, type Trust } from "./quarantine.ts";
--- a/tests/direct/admission_clients_test.ts
+++ b/tests/direct/admission_clients_test.ts
@@ -43,7 +43,8 @@
       table: () => table,
       expectedTokensPerMs: () => 10,
       onChange: () => {},
-      onStrike: () => {},
+      crashReports: () => [],
+      onReport: () => {},
     },
   );
   const close = async () => {
--- a/tests/direct/crashing_part_test.ts
+++ b/tests/direct/crashing_part_test.ts
@@ -16,6 +16,8 @@
   respondCompletely,
   serverHeaders,
   startRouter,
+  startStream,
+  writeChunk,
 } from "./fixture.ts";
 
 const TIMEOUT_MS = 10_000;
@@ -121,6 +123,21 @@
   assert.ok(deadlySends() <= ALLOWED_SENDS, `${deadlySends()} sends`);
 });
 
+test("a part isn't refused for crashes long after its response began", async () => {
+  const route = createRoute({ streaming: true, maxAttempts: 1 });
+  const scripts = Array.from({ length: SERVERS }, (_, index) => {
+    return (received: ReceivedRequest) => {
+      startStream(received, "id: 1\ndata: a\n\n");
+      setTimeout(() => writeChunk(received, "id: 2\ndata: b\n\n"), 300);
+      setTimeout(() => fixture.servers[index]?.crash(), 320);
+    };
+  });
+  const configuration = createConfiguration({ routes: [route] });
+  fixture = await createRouterFixture({ configuration, scripts });
+  for (let count = 0; count < 5; count += 1)
+    assert.equal(await call({ parts: ["sound"] }), 200);
+});
+
 async function startAdmission(port: number): Promise<AdmissionProcess> {
   const admission = new AdmissionProcess(
     {
