Don't count a silent server as crashed

A server that falls silent for a second and goes on was taken for crashed: a response broke off by the silence timeout, the connection attempt after it timed out, and every request that ran there got a strike. Callers could then be refused as quarantined with no crash at all.

Cause: a connection attempt that nobody replied to counted as proof, like one that was refused. Class of fault: silence taken for an end.

Evidence: "a server that falls silent and goes on hasn't crashed" in tests/direct/crash_guard_test.ts fails with any failed attempt as proof (2 suspects, expected 0) and passes now. Only a refused or reset attempt proves a crash at once; for a silent server, its entry that lapses or shows a restart does, as before.

--- a/src/direct/backend_connection.ts
+++ b/src/direct/backend_connection.ts
@@ -10,9 +10,18 @@
  * lost SYN is retransmitted only after a second.
  */
 const CONNECT_TIMEOUT_MS = 500;
+/** Errors by which the host itself replies; a cut network gives others. */
+const REFUSAL_CODES = new Set(["ECONNREFUSED", "ECONNRESET"]);
 /** Idle time after which TCP keep-alive probes start. */
 const KEEP_ALIVE_PROBE_DELAY_MS = 1_000;
 
+/** Why no connection could be opened. */
+export interface ConnectionFailure {
+  /** `refused`: nobody listens there; `silent`: no reply, whoever listens. */
+  readonly kind: "refused" | "silent";
+  readonly reason: string;
+}
+
 /** A request as it is sent to a backend server. */
 export interface BackendRequest {
   readonly method: string;
@@ -58,16 +67,19 @@
   static open({
     host,
     port,
-  }: BackendServer): Promise<Result<BackendConnection, string>> {
+  }: BackendServer): Promise<Result<BackendConnection, ConnectionFailure>> {
     return new Promise((resolve) => {
       const socket = connectTcp({ host, port, noDelay: true });
       const timer = setTimeout(() => {
         socket.destroy();
-        resolve(err(`No connection in ${CONNECT_TIMEOUT_MS} ms`));
+        const reason = `No connection in ${CONNECT_TIMEOUT_MS} ms`;
+        resolve(err({ kind: "silent", reason }));
       }, CONNECT_TIMEOUT_MS);
-      const onError = (error: Error) => {
+      const onError = (error: NodeJS.ErrnoException) => {
         clearTimeout(timer);
-        resolve(err(error.message));
+        const refused = REFUSAL_CODES.has(error.code ?? "");
+        const kind = refused ? "refused" : "silent";
+        resolve(err({ kind, reason: error.message }));
       };
       socket.once("error", onError);
       socket.once("connect", () => {
--- a/src/direct/connection_pool.ts
+++ b/src/direct/connection_pool.ts
@@ -2,7 +2,10 @@
 
 import { ok, type Result } from "neverthrow";
 import { type BackendServer, startKeyOf } from "../directory/mod.ts";
-import { BackendConnection } from "./backend_connection.ts";
+import {
+  BackendConnection,
+  type ConnectionFailure,
+} from "./backend_connection.ts";
 
 /** A connection for one request; give it back with `release`. */
 export interface AcquiredConnection {
@@ -24,7 +27,7 @@
   /** Takes an idle connection, or opens one; returns why that fails. */
   async acquire(
     server: BackendServer,
-  ): Promise<Result<AcquiredConnection, string>> {
+  ): Promise<Result<AcquiredConnection, ConnectionFailure>> {
     const idle = this.#idle.get(keyOf(server)) ?? [];
     for (;;) {
       const connection = idle.pop();
@@ -38,7 +41,7 @@
   /** Opens a connection even if one is idle; returns why that fails. */
   async open(
     server: BackendServer,
-  ): Promise<Result<AcquiredConnection, string>> {
+  ): Promise<Result<AcquiredConnection, ConnectionFailure>> {
     this.#connectAttempts += 1;
     const opened = await BackendConnection.open(server);
     return opened.map((connection) => ({ connection, reused: false }));
--- a/src/direct/crash_guard.ts
+++ b/src/direct/crash_guard.ts
@@ -47,8 +47,8 @@
     this.#breaker = new CrashBreaker(clock, this.#evidence);
     this.#probe = new CrashProbe({
       pool,
-      onUnreachable: (server, reason) =>
-        this.handleUnreachable(server, { reason, request: null }),
+      onUnreachable: (server, failure) =>
+        this.handleUnreachable(server, { ...failure, request: null }),
     });
   }
 
@@ -87,11 +87,14 @@
   /** Records that no connection to a server can be opened. */
   handleUnreachable(
     server: BackendServer,
-    { reason, request }: ConnectFailure,
+    { kind, reason, request }: ConnectFailure,
   ): void {
-    const fields = { request, server: server.id, reason };
+    const fields = { request, server: server.id, kind, reason };
     this.#deps.events.warn("server-unreachable", fields);
-    this.#handleCrash(this.#detector.recordUnreachable(server));
+    // A server that falls silent for a while goes on; if it has ended, its
+    // entry lapses.
+    if (kind === "refused")
+      this.#handleCrash(this.#detector.recordUnreachable(server));
   }
 
   /** Records that a server has joined or left the directory. */
--- a/src/direct/crash_probe.ts
+++ b/src/direct/crash_probe.ts
@@ -6,13 +6,14 @@
  */
 
 import type { BackendServer } from "../directory/mod.ts";
+import type { ConnectionFailure } from "./backend_connection.ts";
 import type { ConnectionPool } from "./connection_pool.ts";
 
 /** Dependencies of a probe. */
 export interface CrashProbeDependencies {
   readonly pool: ConnectionPool;
   /** Called when no connection to the server can be opened. */
-  onUnreachable(server: BackendServer, reason: string): void;
+  onUnreachable(server: BackendServer, failure: ConnectionFailure): void;
 }
 
 /** Opens a connection to each suspected server, one at a time per server. */
--- a/src/direct/exchange.ts
+++ b/src/direct/exchange.ts
@@ -27,6 +27,7 @@
   SHORT_RETRY_AFTER_MS,
   unavailableHere,
 } from "./admit.ts";
+import type { ConnectionFailure } from "./backend_connection.ts";
 import { CallerResponse } from "./caller_response.ts";
 import type { CallerWaitEstimator } from "./caller_wait_estimator.ts";
 import type { ConfigurationState } from "./configuration_state.ts";
@@ -68,8 +69,7 @@
 }
 
 /** A failed attempt to connect to a server. */
-export interface ConnectFailure {
-  readonly reason: string;
+export interface ConnectFailure extends ConnectionFailure {
   /** Id of the request that it was for; null for a probe. */
   readonly request: string | null;
 }
@@ -360,9 +360,12 @@
     };
   }
 
-  #handleConnectFailure(server: BackendServer, reason: string): Step {
+  #handleConnectFailure(
+    server: BackendServer,
+    failure: ConnectionFailure,
+  ): Step {
     const request = this.#record.logFields.id;
-    this.#deps.crashGuard.handleUnreachable(server, { reason, request });
+    this.#deps.crashGuard.handleUnreachable(server, { ...failure, request });
     this.#connectFailures += 1;
     if (this.#connectFailures < CONNECT_FAILURE_LIMIT) return RETRY;
     this.#fail(
