--- a/src/direct/exchange.ts
+++ b/src/direct/exchange.ts
@@ -3,10 +3,8 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Clock } from "../common/clock.ts";
 import type { EventLog } from "../common/event_log.ts";
-import type { BackendServer } from "../directory/mod.ts";
 import type { TeamShares, TeamTally } from "../fairness/mod.ts";
 import type { MetricsRegistry } from "../metrics/registry.ts";
-import { fingerprintOf, type Quarantine } from "../quarantine/mod.ts";
 import {
   deadlinePassed,
   type Failure,
@@ -28,17 +26,21 @@
   SHORT_RETRY_AFTER_MS,
   unavailableHere,
 } from "./admit.ts";
+import type { ConnectionFailure } from "./backend_connection.ts";
 import { CallerResponse } from "./caller_response.ts";
 import type { CallerWaitEstimator } from "./caller_wait_estimator.ts";
 import type { ConfigurationState } from "./configuration_state.ts";
 import type { ConnectionPool } from "./connection_pool.ts";
+import { type CrashGuard, nameOf } from "./crash_guard.ts";
 import type { Dialect } from "./dialect.ts";
 import { EventSplitter, type StreamProgress } from "./event_splitter.ts";
 import { HedgedSend, type SendOptions, type SendRole } from "./hedged_send.ts";
 import { Relay } from "./relay.ts";
 import { RequestRecord } from "./request_record.ts";
+import { ResponseProgress } from "./response_progress.ts";
 import type { RetryBudget, RetryReservation } from "./retry_budget.ts";
 import { type SendEnd, ServerSend } from "./server_send.ts";
+import { SuspectRequest } from "./suspect_request.ts";
 
 /**
  * Silence timeout as a multiple of the route's latency objective: a server that
@@ -65,20 +67,15 @@
   readonly scheduler: Scheduler;
   readonly pool: ConnectionPool;
   readonly retryBudget: RetryBudget;
-  readonly quarantine: Quarantine;
+  readonly crashGuard: CrashGuard;
   readonly metrics: MetricsRegistry;
   readonly teamTally: TeamTally;
   readonly teamShares: TeamShares;
   readonly callerWaits: CallerWaitEstimator;
-  /** Called when a response of a server has broken off. */
-  onBroken(server: BackendServer, fingerprint: string): void;
-  /** Called when no connection to a server can be opened. */
-  onUnreachable(server: BackendServer, failure: ConnectFailure): void;
 }
 
 /** A failed attempt to connect to a server. */
-export interface ConnectFailure {
-  readonly reason: string;
+export interface ConnectFailure extends ConnectionFailure {
   /** Id of the request that it was for; null for a probe. */
   readonly request: string | null;
 }
@@ -109,7 +106,9 @@
   #retry: RetryReservation | null = null;
   /** The send to another server while one is silent. */
   #hedgeRetry: RetryReservation | null = null;
-  #cachedFingerprint: string | null = null;
+  /** How far the response to each send has come. */
+  readonly #responses = new WeakMap<Placement, ResponseProgress>();
+  #suspect: SuspectRequest | null = null;
   #deadlineTimer: NodeJS.Timeout | null = null;
   #hasReadTerms = false;
   #connectFailures = 0;
@@ -198,6 +197,7 @@
     } finally {
       if (this.#deadlineTimer !== null) clearTimeout(this.#deadlineTimer);
       this.#retry?.release();
+      this.#suspect?.end();
     }
   }
 
@@ -234,12 +234,14 @@
 
   /** Refuses the request and returns true if it is quarantined. */
   #refuseIfQuarantined(admitted: AdmittedRequest): boolean {
-    if (!this.#isQuarantined(admitted)) return false;
-    const { events } = this.#deps;
-    const fingerprint = this.#fingerprint(admitted);
+    const suspect = this.#suspectOf(admitted);
+    const refused = suspect.refusal();
+    if (refused === null) return false;
     const request = this.#record.logFields.id;
-    events.info("quarantined", { request, fingerprint });
-    const sentence = "Quarantined: the request crashed several servers";
+    const { fingerprint } = suspect;
+    const cause = nameOf(refused);
+    this.#deps.events.info("quarantined", { request, fingerprint, cause });
+    const sentence = "Quarantined: requests like this crashed several servers";
     const retryAfterMs = QUARANTINE_RETRY_AFTER_MS;
     this.#fail(
       this.#mayHaveRun || this.#response.hasStarted
@@ -249,16 +251,12 @@
     return true;
   }
 
-  #isQuarantined(admitted: AdmittedRequest): boolean {
-    const { quarantine } = this.#deps;
-    if (quarantine.size === 0) return false;
-    return quarantine.trust(this.#fingerprint(admitted)) === "refused";
-  }
-
-  #fingerprint({ team, body }: AdmittedRequest): string {
+  #suspectOf({ team, body, terms }: AdmittedRequest): SuspectRequest {
     const path = this.#request.url ?? "/";
-    this.#cachedFingerprint ??= fingerprintOf({ team: team ?? "", path, body });
-    return this.#cachedFingerprint;
+    this.#suspect ??= new SuspectRequest(this.#deps.crashGuard, {
+      ...{ team, path, body, prompt: terms.prompt },
+    });
+    return this.#suspect;
   }
 
   #demand(admitted: AdmittedRequest): Demand {
@@ -310,8 +308,12 @@
       place: (signal) => this.#placeHedge(admitted, signal),
       start: (placement, options) =>
         this.#startSend(admitted, placement, options),
-      onEnd: ({ server }, end) => this.#recordEnd(admitted, server, end),
-      onTakeover: (placement) => this.#record.recordPlacement(placement),
+      onEnd: (placement, end) => this.#recordEnd(admitted, placement, end),
+      onTakeover: (placement, silent) => {
+        this.#record.recordPlacement(placement);
+        if (silent !== null)
+          this.#recordBroken(admitted, silent, "Another server took over");
+      },
     });
     return this.#handleEnd(admitted, await sends.run(first));
   }
@@ -320,7 +322,7 @@
     return (
       this.#isRepeatable(admitted) &&
       !this.#cancel.signal.aborted &&
-      !this.#isQuarantined(admitted)
+      this.#suspectOf(admitted).refusal() === null
     );
   }
 
@@ -353,6 +355,9 @@
     placement: Placement,
     { role, listener }: SendOptions,
   ): ServerSend {
+    const suspect = this.#suspectOf(admitted);
+    const response = new ResponseProgress(this.#deps.clock);
+    this.#responses.set(placement, response);
     return new ServerSend({
       pool: this.#deps.pool,
       placement,
@@ -370,6 +375,7 @@
           withholdsFailures: role === "backup" || this.#isRepeatable(admitted),
           splitter: this.#progress && new EventSplitter(this.#progress),
           streaming: admitted.route.streaming,
+          onData: () => suspect.recordData(response),
           onFirstByte: () => this.#recordFirstByte(placement),
           silenceTimeoutMs: this.#silenceTimeoutMs(admitted),
         }),
@@ -378,13 +384,16 @@
 
   #recordEnd(
     admitted: AdmittedRequest,
-    server: BackendServer,
+    placement: Placement,
     end: SendEnd,
   ): void {
+    const response = this.#responses.get(placement);
+    if (response !== undefined)
+      this.#suspectOf(admitted).recordEnd(end, response);
     switch (end.type) {
       case "broken":
         this.#mayHaveRun = true;
-        this.#recordBroken(admitted, server, end.reason);
+        this.#recordBroken(admitted, placement, end.reason);
         return;
       case "failed":
       case "aborted":
@@ -393,7 +402,11 @@
         return;
       case "unreachable": {
         const request = this.#record.logFields.id;
-        this.#deps.onUnreachable(server, { reason: end.reason, request });
+        const { failure } = end;
+        this.#deps.crashGuard.handleUnreachable(placement.server, {
+          ...failure,
+          request,
+        });
         return;
       }
       case "complete":
@@ -407,16 +420,22 @@
 
   #recordBroken(
     admitted: AdmittedRequest,
-    server: BackendServer,
+    placement: Placement,
     reason: string,
   ): void {
-    const { events } = this.#deps;
-    const fingerprint = this.#fingerprint(admitted);
+    const { events, crashGuard, clock } = this.#deps;
+    const response =
+      this.#responses.get(placement) ?? new ResponseProgress(clock);
+    const broken = this.#suspectOf(admitted).brokenRequest(response);
+    const { server } = placement;
     events.warn("response-broken", {
-      ...{ request: this.#record.logFields.id, fingerprint },
+      ...{
+        request: this.#record.logFields.id,
+        fingerprint: broken.fingerprint,
+      },
       ...{ server: server.id, reason },
     });
-    this.#deps.onBroken(server, fingerprint);
+    crashGuard.handleBroken(server, broken);
   }
 
   /** No timeout for requests that may not be repeated on another server. */
--- a/src/direct/hedged_send.ts
+++ b/src/direct/hedged_send.ts
@@ -40,8 +40,12 @@
   start(placement: Placement, options: SendOptions): ServerSend;
   /** Called when a send has ended, for each of them. */
   onEnd(placement: Placement, end: SendEnd): void;
-  /** Called when another server's response replaces that of a silent one. */
-  onTakeover(placement: Placement): void;
+  /**
+   * Called when another server's response is awaited from now on.
+   *
+   * @param silent the silent server that is given up; null if its send had ended
+   */
+  onTakeover(placement: Placement, silent: Placement | null): void;
 }
 
 /** The sends of one placement of a request. Call `run` only once. */
@@ -71,7 +75,7 @@
           this.#cancelBackup();
           return end;
         }
-        this.#promote(this.#backup);
+        this.#promote(this.#backup, null);
       }
       leader = this.#leader;
     }
@@ -139,16 +143,16 @@
   #takeOver(backup: ServerSend): void {
     const silent = this.#leader;
     if (silent !== null) this.#log(silent, "taken-over", backup.placement);
-    this.#promote(backup);
+    this.#promote(backup, silent);
     silent?.abandon("failed");
   }
 
-  #promote(backup: ServerSend): void {
+  #promote(backup: ServerSend, silent: ServerSend | null): void {
     this.#leader = backup;
     this.#backup = null;
     this.#promoted.add(backup);
     backup.restartSilenceTimer();
-    this.#deps.onTakeover(backup.placement);
+    this.#deps.onTakeover(backup.placement, silent?.placement ?? null);
   }
 
   #cancelBackup(): void {
--- a/src/direct/relay.ts
+++ b/src/direct/relay.ts
@@ -61,6 +61,8 @@
   readonly onResumed: () => void;
   /** Called before bytes of the response are forwarded. */
   readonly onClaim: () => void;
+  /** Called on all data of the body. */
+  readonly onData: () => void;
   /** Called on the first byte of the body. */
   readonly onFirstByte: () => void;
 }
@@ -225,6 +227,7 @@
       return;
     }
     this.#noteActivity();
+    this.#options.onData();
     if (!this.#hasFirstByte) {
       this.#hasFirstByte = true;
       this.#options.onFirstByte();
--- a/src/direct/server_send.ts
+++ b/src/direct/server_send.ts
@@ -5,6 +5,7 @@
 import type {
   BackendConnection,
   BackendRequest,
+  ConnectionFailure,
 } from "./backend_connection.ts";
 import type { ConnectionPool } from "./connection_pool.ts";
 import type { Relay, SendResult } from "./relay.ts";
@@ -13,7 +14,7 @@
 export type SendEnd =
   | SendResult
   /** No connection could be opened. */
-  | { readonly type: "unreachable"; readonly reason: string }
+  | { readonly type: "unreachable"; readonly failure: ConnectionFailure }
   /** Cancelled before anything was sent. */
   | { readonly type: "unsent" };
 
@@ -68,7 +69,7 @@
     await nextTurn();
     if (acquired.isErr()) {
       placement.release("unreachable");
-      return { type: "unreachable", reason: acquired.error };
+      return { type: "unreachable", failure: acquired.error };
     }
     const { connection } = acquired.value;
     let outcome: Outcome = "neutral";
