Don't frame a response that its server left unframed

A server that crashed in the middle of a response without a length closed its connection, and the router vouched for the rest with a last chunk.

But a clean close doesn't show that a response is complete, so the router can't claim it. Taken back: such a response stays unframed, ends as its server ended it, and is reset if it is known to be truncated.

tests/direct/response_end_test.ts: "an unframed response isn't framed as complete by the router" failed before and passes now. Its other tests now read the socket itself, because a client like the one that they used hides the reset.

--- a/src/direct/caller_response.ts
+++ b/src/direct/caller_response.ts
@@ -74,10 +74,7 @@
     if (!this.#response.headersSent) this.#response.shouldKeepAlive = false;
   }
 
-  /**
-   * Sends a backend server's status and headers. A response without framing
-   * gets chunks: without them, a caller can't tell a reset from its end.
-   */
+  /** Sends a backend server's status and headers. */
   start(status: number, headers: ResponseHeaders): void {
     this.#status = status;
     const response = this.#response;
@@ -86,6 +83,12 @@
       if (value === undefined || UNFORWARDED_HEADERS.has(name)) continue;
       response.setHeader(name, value);
     }
+    if (framingOf(headers) === "until-close") {
+      // With chunked encoding added by the router, a response that the server
+      // truncated would look complete.
+      response.useChunkedEncodingByDefault = false;
+      response.shouldKeepAlive = false;
+    }
     response.flushHeaders();
   }
 
--- a/tests/direct/response_end_test.ts
+++ b/tests/direct/response_end_test.ts
@@ -2,7 +2,6 @@
 
 import assert from "node:assert/strict";
 import { afterEach, test } from "node:test";
-import { request } from "undici";
 import type { Route } from "../../src/routing/mod.ts";
 import type {
   ReceivedRequest,
@@ -16,6 +15,7 @@
   serverHeaders,
   startStream,
 } from "./fixture.ts";
+import { callRaw } from "./raw_caller.ts";
 
 const OVER_BUFFER_LIMIT_BYTES = 200_000;
 const ONE_EVENT = "id: 1\ndata: a\n\n";
@@ -38,19 +38,36 @@
 
 /** What the caller got: all of a response, or its bytes before a reset. */
 async function call() {
-  const response = await request(`http://127.0.0.1:${fixture.port}/lookup/1`, {
-    method: "POST",
-    headers: { host: "desk.example", "x-attempt-id": "s" },
-    body: "b",
+  // HTTP clients take the reset of a response without framing for its end.
+  const { text: received, end } = await callRaw(fixture.port, {
+    headers: { connection: "close" },
   });
-  const { statusCode: status } = response;
+  const bodyStart = received.indexOf("\r\n\r\n") + 4;
+  const head = received.slice(0, bodyStart).toLowerCase();
+  const status = Number(head.split(" ")[1]);
+  const body = received.slice(bodyStart);
+  const { text, isWhole } = head.includes("transfer-encoding: chunked")
+    ? decodeChunks(body)
+    : { text: body, isWhole: body.length >= lengthIn(head) };
+  const whole = end === "closed" && isWhole;
+  return { status, text, end: whole ? "whole" : "reset" };
+}
+
+function lengthIn(head: string): number {
+  return Number(/content-length: (\d+)/.exec(head)?.[1] ?? 0);
+}
+
+function decodeChunks(body: string): { text: string; isWhole: boolean } {
   let text = "";
-  try {
-    for await (const chunk of response.body) text += chunk;
-  } catch {
-    return { status, text, end: "reset" };
+  let rest = body;
+  for (;;) {
+    const [, digits = ""] = /^([0-9a-f]+)\r\n/i.exec(rest) ?? [];
+    const length = Number.parseInt(digits, 16);
+    if (!(length > 0)) return { text, isWhole: length === 0 };
+    const start = digits.length + 2;
+    text += rest.slice(start, start + length);
+    rest = rest.slice(start + length + 2);
   }
-  return { status, text, end: "whole" };
 }
 
 function startUnframed(request: ReceivedRequest): void {
@@ -78,6 +95,17 @@
   assert.equal((await call()).end, "reset");
 });
 
+test("an unframed response isn't framed as complete by the router", async () => {
+  const script: Script = (request) => {
+    const head = `HTTP/1.1 200 OK\r\n${serverHeaders(request)}`;
+    request.socket.end(`${head}\r\nfine`);
+  };
+  await start(script, createRoute());
+  const { text } = await callRaw(fixture.port);
+  assert.doesNotMatch(text, /content-length|transfer-encoding/i);
+  assert.match(text, /Connection: close\r\n\r\nfine$/);
+});
+
 test("a complete unframed response is whole", async () => {
   const script: Script = (request) => {
     const head = `HTTP/1.1 200 OK\r\n${serverHeaders(request)}`;
