Let CrashEvidence take reports and name suspects in one place

Routers and admission processes each switched over the two kinds of reports, and the suspects of a request were put together in three places. Both now stand in src/quarantine. No behaviour changes; tests of the quarantine, of crashes and of admission pass as before.

--- a/src/admission/admission_process.ts
+++ b/src/admission/admission_process.ts
@@ -129,24 +129,12 @@
 
   /** Routers have no connections to each other, so reports are relayed here. */
   #relayReport(report: CrashReport | SoundReport, from: RouterSession): void {
-    if (!this.#recordReport(report)) return;
+    if (!this.#crashEvidence.add(report)) return;
     for (const session of this.#sessions) {
       if (session !== from) session.sendReport(report);
     }
   }
 
-  /** Returns whether a report says anything new. */
-  #recordReport(report: CrashReport | SoundReport): boolean {
-    switch (report.type) {
-      case "crash-report":
-        return this.#crashEvidence.addCrash(report);
-      case "sound-report":
-        return this.#crashEvidence.addSound(report.suspects, report).length > 0;
-      default:
-        return report satisfies never;
-    }
-  }
-
   #reportWhenDue(): void {
     this.#logEngineStateChange();
     const routers = this.#sessions.size;
--- a/src/direct/crash_guard.ts
+++ b/src/direct/crash_guard.ts
@@ -127,25 +127,14 @@
 
   /** Records what another router has reported. */
   receive(report: CrashReport | SoundReport): void {
-    switch (report.type) {
-      case "crash-report":
-        this.#receiveCrash(report);
-        break;
-      case "sound-report":
-        this.#evidence.addSound(report.suspects, report);
-        break;
-      default:
-        report satisfies never;
+    const isNew = this.#evidence.add(report);
+    if (isNew && report.type === "crash-report") {
+      const sound = this.#evidence.soundAmong(report);
+      if (sound !== null) this.#deps.send(sound);
     }
     this.#logCauses();
   }
 
-  #receiveCrash(report: CrashReport): void {
-    if (!this.#evidence.addCrash(report)) return;
-    const sound = this.#evidence.soundAmong(report);
-    if (sound !== null) this.#deps.send(sound);
-  }
-
   /** Drops old crashes; must be called periodically. */
   sweep(): void {
     this.#evidence.sweep();
--- a/src/direct/suspect_request.ts
+++ b/src/direct/suspect_request.ts
@@ -4,7 +4,7 @@
   type CrashCause,
   fingerprintOf,
   partSuspect,
-  requestSuspect,
+  suspectsOf,
 } from "../quarantine/mod.ts";
 import { type Prompt, sharedParts } from "../scheduling/mod.ts";
 import type { BrokenRequest } from "./crash_detector.ts";
@@ -84,7 +84,7 @@
   }
 
   #suspects(): string[] {
-    return [requestSuspect(this.fingerprint), ...this.#parts.map(partSuspect)];
+    return suspectsOf([this.fingerprint, this.#parts]);
   }
 }
 
--- a/src/quarantine/crash_evidence.ts
+++ b/src/quarantine/crash_evidence.ts
@@ -44,6 +44,11 @@
   return `part ${part}`;
 }
 
+/** Returns the suspects that a request and its prompt parts are. */
+export function suspectsOf([fingerprint, parts]: SuspectRequest): string[] {
+  return [requestSuspect(fingerprint), ...parts.map(partSuspect)];
+}
+
 /** Bounded store of crashes; the same in routers and admission processes. */
 export class CrashEvidence {
   readonly #clock: Clock;
@@ -80,7 +85,19 @@
     return this.#suspects;
   }
 
-  /** Adds a report; returns whether it says anything new. */
+  /** Adds what another process reports; returns whether it says anything new. */
+  add(report: CrashReport | SoundReport): boolean {
+    switch (report.type) {
+      case "crash-report":
+        return this.addCrash(report);
+      case "sound-report":
+        return this.addSound(report.suspects, report).length > 0;
+      default:
+        return report satisfies never;
+    }
+  }
+
+  /** Adds a crash; returns whether it says anything new. */
   addCrash({ crash, ageMs, requests }: Omit<CrashReport, "type">): boolean {
     const known = this.#crashes.get(crash);
     const atMs = known?.atMs ?? this.#clock.monotonicMs() - ageMs;
@@ -97,13 +114,10 @@
     return isNew;
   }
 
-  #addRequest(
-    { atMs, groups }: StoredCrash,
-    [fingerprint, parts]: SuspectRequest,
-  ): boolean {
+  #addRequest({ atMs, groups }: StoredCrash, request: SuspectRequest): boolean {
+    const [fingerprint] = request;
     const known = groups.get(fingerprint) ?? [];
-    const counted = [requestSuspect(fingerprint), ...parts.map(partSuspect)];
-    const added = counted.filter(
+    const added = suspectsOf(request).filter(
       (one) => !known.includes(one) && !this.#sound.covers(one, atMs),
     );
     const room = SUSPECTS_PER_CRASH_LIMIT - [...groups.values()].flat().length;
@@ -152,11 +166,7 @@
     requests,
   }: Omit<CrashReport, "type">): SoundReport | null {
     const crashAtMs = this.#clock.monotonicMs() - ageMs;
-    const named = requests.flatMap(([fingerprint, parts]) => [
-      requestSuspect(fingerprint),
-      ...parts.map(partSuspect),
-    ]);
-    const sound = [...new Set(named)].filter((one) =>
+    const sound = [...new Set(requests.flatMap(suspectsOf))].filter((one) =>
       this.#sound.covers(one, crashAtMs),
     );
     if (sound.length === 0) return null;
--- a/src/quarantine/mod.ts
+++ b/src/quarantine/mod.ts
@@ -6,5 +6,6 @@
   CrashEvidence,
   partSuspect,
   requestSuspect,
+  suspectsOf,
 } from "./crash_evidence.ts";
 export { fingerprintOf, Quarantine, type Trust } from "./quarantine.ts";
