Drop a dead option and keep one short Retry-After

Quarantine took the number of strikes as an option for the direct router, which uses CrashBreaker now. The 100 ms for callers that another router can serve stood in admit.ts and, for stopping routers, in refusal.ts; both take it from src/scheduling. No behaviour changes.

--- a/src/direct/admit.ts
+++ b/src/direct/admit.ts
@@ -5,14 +5,11 @@
 import { badRequest, type Failure, notRun } from "../router/failure.ts";
 import { readBody } from "../router/request_body.ts";
 import { destinationOf, type Route, type RouteTable } from "../routing/mod.ts";
-import { costOf } from "../scheduling/mod.ts";
+import { costOf, SHORT_RETRY_AFTER_MS } from "../scheduling/mod.ts";
 import type { CallerWaitEstimator } from "./caller_wait_estimator.ts";
 import type { ConfigurationState } from "./configuration_state.ts";
 import type { Dialect, RequestTerms } from "./dialect.ts";
 
-/** Retry-After of requests that this router can't serve but another one may. */
-export const SHORT_RETRY_AFTER_MS = 100;
-
 /** Dependencies of `admit`. */
 export interface AdmitDependencies {
   readonly configuration: ConfigurationState;
--- a/src/direct/exchange.ts
+++ b/src/direct/exchange.ts
@@ -16,12 +16,12 @@
   type Decision,
   type Placement,
   type Scheduler,
+  SHORT_RETRY_AFTER_MS,
 } from "../scheduling/mod.ts";
 import {
   type AdmittedRequest,
   admit,
   currentDeadlineAtMs,
-  SHORT_RETRY_AFTER_MS,
   unavailableHere,
 } from "./admit.ts";
 import type { ConnectionFailure } from "./backend_connection.ts";
--- a/src/quarantine/quarantine.ts
+++ b/src/quarantine/quarantine.ts
@@ -29,17 +29,11 @@
 /** Strikes by fingerprint, shared between side processes. */
 export class Quarantine {
   readonly #clock: Clock;
-  readonly #strikesLimit: number;
   readonly #crashesById = new Map<string, Crash>();
   readonly #crashIdsByFingerprint = new Map<string, Set<string>>();
 
-  /** @param options.strikesLimit strikes at which a request is refused */
-  constructor(
-    clock: Clock,
-    { strikesLimit = STRIKES_LIMIT }: { readonly strikesLimit?: number } = {},
-  ) {
+  constructor(clock: Clock) {
     this.#clock = clock;
-    this.#strikesLimit = strikesLimit;
   }
 
   /** Number of fingerprints with a strike. */
@@ -51,7 +45,7 @@
   trust(fingerprint: string): Trust {
     const strikes = this.#crashIdsByFingerprint.get(fingerprint)?.size ?? 0;
     if (strikes === 0) return "innocent";
-    return strikes < this.#strikesLimit ? "suspect" : "refused";
+    return strikes < STRIKES_LIMIT ? "suspect" : "refused";
   }
 
   /** Milliseconds until the oldest strike of a refused request expires. */
--- a/src/scheduling/mod.ts
+++ b/src/scheduling/mod.ts
@@ -10,6 +10,7 @@
 export { MAX_FAILURE_SHARE, ownersOf } from "./placement.ts";
 export { PredictedCache } from "./predicted_cache.ts";
 export { PrefillRate, SMALLEST_SAMPLE_TOKENS } from "./prefill_rate.ts";
+export { SHORT_RETRY_AFTER_MS } from "./refusal.ts";
 export {
   type RequestInFlight,
   RequestsInFlight,
--- a/src/scheduling/refusal.ts
+++ b/src/scheduling/refusal.ts
@@ -27,8 +27,8 @@
 const RETRY_JITTER_SHARE = 0.5;
 /** Retry delay of a caller whose service has no server. */
 const NO_SERVER_RETRY_AFTER_MS = 500;
-/** Retry delay of a caller whose router stops: another one can serve it. */
-export const STOPPING_RETRY_AFTER_MS = 100;
+/** Retry delay of a caller that this router can't serve but another one may. */
+export const SHORT_RETRY_AFTER_MS = 100;
 
 /** State on the arrival of a request. */
 export interface ArrivalContext {
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -455,6 +455,6 @@
 }
 
 function refusedAsStopping(awaitedServer: string | null): Decision {
-  const retryAfterMs = refusal.STOPPING_RETRY_AFTER_MS;
+  const retryAfterMs = refusal.SHORT_RETRY_AFTER_MS;
   return { type: "refused", reason: "stopping", retryAfterMs, awaitedServer };
 }
