Derive the first byte of a response from its progress

Relay told its owner of all data and, by a flag of its own, of the first; ResponseProgress knows whether any has come.

--- a/src/direct/relay.ts
+++ b/src/direct/relay.ts
@@ -63,8 +63,6 @@
   readonly onClaim: () => void;
   /** Called on all data of the body. */
   readonly onData: () => void;
-  /** Called on the first byte of the body. */
-  readonly onFirstByte: () => void;
 }
 
 type Controller = Dispatcher.DispatchController;
@@ -89,7 +87,6 @@
   #bufferedBytes = 0;
   #discardedBytes = 0;
   #discardTimer: NodeJS.Timeout | null = null;
-  #hasFirstByte = false;
   #silenceTimer: NodeJS.Timeout | null = null;
   #isSilent = false;
 
@@ -228,10 +225,6 @@
     }
     this.#noteActivity();
     this.#options.onData();
-    if (!this.#hasFirstByte) {
-      this.#hasFirstByte = true;
-      this.#options.onFirstByte();
-    }
     if (this.#buffered === null) {
       this.#forward(controller, chunk);
       return;
--- a/src/direct/request_sender.ts
+++ b/src/direct/request_sender.ts
@@ -207,8 +207,7 @@
           withholdsFailures: role === "backup" || this.isRepeatable,
           splitter: this.#progress && new EventSplitter(this.#progress),
           streaming: admitted.route.streaming,
-          onData: () => this.suspect.recordData(progress),
-          onFirstByte: () => this.#recordFirstByte(placement),
+          onData: () => this.#recordData(placement, progress),
           silenceTimeoutMs: this.#silenceTimeoutMs,
         }),
     });
@@ -242,9 +241,12 @@
     return objectiveMs * SILENCE_TIMEOUT_OBJECTIVES;
   }
 
-  #recordFirstByte(placement: Placement): void {
-    placement.noteFirstToken();
-    this.#options.record.recordFirstByte();
+  #recordData(placement: Placement, progress: ResponseProgress): void {
+    if (!progress.hasData) {
+      placement.noteFirstToken();
+      this.#options.record.recordFirstByte();
+    }
+    this.suspect.recordData(progress);
   }
 
   #recordEnd(placement: Placement, end: SendEnd): void {
