Let Exchange's dependencies extend those of its sender

ExchangeDependencies listed again what RequestSenderDependencies lists, and ConnectFailure stood in exchange.ts, which no longer uses it, so that crash_guard.ts imported its own importer.

--- a/src/direct/crash_guard.ts
+++ b/src/direct/crash_guard.ts
@@ -9,6 +9,7 @@
   type CrashCause,
   CrashEvidence,
 } from "../quarantine/mod.ts";
+import type { ConnectionFailure } from "./backend_connection.ts";
 import type { ConnectionPool } from "./connection_pool.ts";
 import {
   type BrokenRequest,
@@ -16,7 +17,6 @@
   CrashDetector,
 } from "./crash_detector.ts";
 import { CrashProbe } from "./crash_probe.ts";
-import type { ConnectFailure } from "./exchange.ts";
 
 /** Fingerprints, prompt parts or crashes in one log line. */
 const LOGGED_IDS = 8;
@@ -30,6 +30,12 @@
   send(report: CrashReport | SoundReport): void;
 }
 
+/** A failed attempt to connect to a server. */
+export interface ConnectFailure extends ConnectionFailure {
+  /** Id of the request that it was for; null for a probe. */
+  readonly request: string | null;
+}
+
 /** Detects crashes, shares them with other routers, and refuses causes. */
 export class CrashGuard {
   readonly #deps: CrashGuardDependencies;
--- a/src/direct/exchange.ts
+++ b/src/direct/exchange.ts
@@ -1,8 +1,6 @@
 /** Serves one caller's request, from its headers to the end of its response. */
 
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { Clock } from "../common/clock.ts";
-import type { EventLog } from "../common/event_log.ts";
 import type { TeamShares, TeamTally } from "../fairness/mod.ts";
 import type { MetricsRegistry } from "../metrics/registry.ts";
 import {
@@ -15,7 +13,6 @@
   costOf,
   type Decision,
   type Placement,
-  type Scheduler,
   SHORT_RETRY_AFTER_MS,
 } from "../scheduling/mod.ts";
 import {
@@ -24,16 +21,15 @@
   currentDeadlineAtMs,
   unavailableHere,
 } from "./admit.ts";
-import type { ConnectionFailure } from "./backend_connection.ts";
 import { CallerResponse } from "./caller_response.ts";
 import type { CallerWaitEstimator } from "./caller_wait_estimator.ts";
 import type { ConfigurationState } from "./configuration_state.ts";
-import type { ConnectionPool } from "./connection_pool.ts";
-import { type CrashGuard, nameOf } from "./crash_guard.ts";
-import type { Dialect } from "./dialect.ts";
+import { nameOf } from "./crash_guard.ts";
 import { RequestRecord } from "./request_record.ts";
-import { RequestSender } from "./request_sender.ts";
-import type { RetryBudget } from "./retry_budget.ts";
+import {
+  RequestSender,
+  type RequestSenderDependencies,
+} from "./request_sender.ts";
 import type { SendEnd } from "./server_send.ts";
 
 /** Retry-After of a quarantined request; servers may be fixed by then. */
@@ -42,27 +38,14 @@
 const CONNECT_FAILURE_LIMIT = 8;
 
 /** Dependencies of an exchange. */
-export interface ExchangeDependencies {
-  readonly clock: Clock;
-  readonly events: EventLog;
+export interface ExchangeDependencies extends RequestSenderDependencies {
   readonly configuration: ConfigurationState;
-  readonly dialect: Dialect;
-  readonly scheduler: Scheduler;
-  readonly pool: ConnectionPool;
-  readonly retryBudget: RetryBudget;
-  readonly crashGuard: CrashGuard;
   readonly metrics: MetricsRegistry;
   readonly teamTally: TeamTally;
   readonly teamShares: TeamShares;
   readonly callerWaits: CallerWaitEstimator;
 }
 
-/** A failed attempt to connect to a server. */
-export interface ConnectFailure extends ConnectionFailure {
-  /** Id of the request that it was for; null for a probe. */
-  readonly request: string | null;
-}
-
 /** How an unread request is refused. */
 export interface RefusalOptions {
   /** Retry-After in milliseconds, if it isn't the usual one. */
