--- a/tests/direct/cut_at_shutdown_test.ts
+++ b/tests/direct/cut_at_shutdown_test.ts
@@ -1,13 +1,14 @@
 /** What callers get from a router that shuts down before they are served. */
 
 import assert from "node:assert/strict";
-import { test } from "node:test";
+import { afterEach, test } from "node:test";
 import { until } from "../../tools/fleet/until.ts";
 import { createConfiguration, createRoute } from "../support/routes.ts";
 import {
   createRouterFixture,
   letOtherTasksRun,
   neverRespond,
+  type RouterFixture,
   serverHeaders,
 } from "./fixture.ts";
 import { callRaw } from "./raw_caller.ts";
@@ -16,11 +17,17 @@
 /** More than the places of one server for this router. */
 const CALLERS = 6;
 
+let fixture: RouterFixture;
+
+afterEach(async () => {
+  await fixture.close();
+});
+
 test("a stream without a length that is cut at shutdown doesn't look complete", async () => {
   const routes = [
     createRoute({ streaming: true, repetition: "non-idempotent" }),
   ];
-  const fixture = await createRouterFixture({
+  fixture = await createRouterFixture({
     configuration: createConfiguration({ routes }),
     scripts: [
       (received) => {
@@ -37,14 +44,13 @@
   const { text, end } = await response;
   assert.match(text, /data: a/);
   assert.equal(end, "reset");
-  await fixture.close();
 });
 
 test("requests that no server has got are refused, not cut, at shutdown", async () => {
   const routes = [
     createRoute({ objectiveMs: 3_000, repetition: "non-idempotent" }),
   ];
-  const fixture = await createRouterFixture({
+  fixture = await createRouterFixture({
     configuration: createConfiguration({ routes }),
     scripts: [neverRespond],
     graceSeconds: 1,
@@ -62,5 +68,4 @@
   const texts = (await Promise.all(responses)).map(({ text }) => text);
   const refused = texts.filter((text) => text.startsWith("HTTP/1.1 503"));
   assert.equal(refused.length, waiting);
-  await fixture.close();
 });
--- a/tests/direct/retry_budget_test.ts
+++ b/tests/direct/retry_budget_test.ts
@@ -22,6 +22,10 @@
 
 test("requests that wait for a second server stay within the retry budget", async () => {
   const script = neverRespond;
+  const others = Array.from(
+    { length: REQUESTS },
+    () => new ScriptedServer(script),
+  );
   const fixture = await createRouterFixture({
     configuration: createConfiguration({
       routes: [createRoute({ objectiveMs: OBJECTIVE_MS })],
@@ -29,25 +33,26 @@
     scripts: Array.from({ length: REQUESTS / PLACES }, () => script),
     retries: { ratio: 0, windowSeconds: 10, slack: ALLOWED_RETRIES },
   });
-  const others = Array.from(
-    { length: REQUESTS },
-    () => new ScriptedServer(script),
-  );
-  for (const server of others) await server.listen();
-  const responses = Array.from({ length: REQUESTS }, (_, index) =>
-    callRaw(fixture.port, { headers: { "x-attempt-id": `id-${index}` } }),
-  );
-  await until("requests wait for another server", TIMEOUT_MS, {
-    holds: () => fixture.router.waiting > 0,
-  });
-  await letOtherTasksRun();
-  for (const [index, { port }] of others.entries()) {
-    announceServer(fixture.router, `other-${index}`, port);
+  const responses: Promise<unknown>[] = [];
+  try {
+    for (const server of others) await server.listen();
+    for (let index = 0; index < REQUESTS; index += 1) {
+      const headers = { "x-attempt-id": `id-${index}` };
+      responses.push(callRaw(fixture.port, { headers }));
+    }
+    await until("requests wait for another server", TIMEOUT_MS, {
+      holds: () => fixture.router.waiting > 0,
+    });
+    await letOtherTasksRun();
+    for (const [index, { port }] of others.entries()) {
+      announceServer(fixture.router, `other-${index}`, port);
+    }
+    await letOtherTasksRun();
+  } finally {
+    for (const server of others) server.crash();
+    await fixture.close();
   }
-  await letOtherTasksRun();
-  const retries = others.flatMap(({ requests }) => requests).length;
-  for (const server of others) server.crash();
-  await fixture.close();
   await Promise.all(responses);
+  const retries = others.flatMap(({ requests }) => requests).length;
   assert.ok(retries <= ALLOWED_RETRIES, `${retries} retries`);
 });
