--- a/tests/direct/caller_connection_test.ts
+++ b/tests/direct/caller_connection_test.ts
@@ -1,7 +1,7 @@
 /** What a caller's connection carries across changes, timeouts and shutdown. */
 
 import assert from "node:assert/strict";
-import { connect, type Socket } from "node:net";
+import type { Socket } from "node:net";
 import { afterEach, test } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
 import type { FleetConfiguration, Route } from "../../src/routing/mod.ts";
@@ -17,6 +17,8 @@
   startStream,
   writeChunk,
 } from "./fixture.ts";
+import type { Caller } from "./raw_caller.ts";
+import * as raw from "./raw_caller.ts";
 
 const TIMEOUT_MS = 10_000;
 const STREAM = { streaming: true, repetition: "non-idempotent" } as const;
@@ -48,42 +50,14 @@
   return createConfiguration({ version, routes });
 }
 
-/** A connection whose bytes the test writes and reads as they are. */
-interface Caller {
-  readonly socket: Socket;
-  /** What the router has sent, and how it has closed the connection. */
-  readonly seen: { text: string; end: "open" | "ended" | "reset" };
-}
-
 async function connectCaller(): Promise<Caller> {
-  const socket = connect(fixture.port, "127.0.0.1");
-  callers.push(socket);
-  const seen: Caller["seen"] = { text: "", end: "open" };
-  socket.on("data", (bytes) => {
-    seen.text += bytes.toString("latin1");
-  });
-  socket.on("end", () => {
-    seen.end = "ended";
-  });
-  socket.on("error", () => {
-    seen.end = "reset";
-  });
-  await new Promise<void>((resolve) => socket.once("connect", resolve));
-  return { socket, seen };
+  const caller = await raw.connectCaller(fixture.port);
+  callers.push(caller.socket);
+  return caller;
 }
 
-let lastId = 0;
-
-function head(method: string, lines: readonly string[] = []): string {
-  lastId += 1;
-  const common = [
-    `${method} /lookup/1 HTTP/1.1`,
-    "Host: desk.example",
-    `X-Attempt-Id: id-${lastId}`,
-    "X-Deadline-Ms: 6000",
-  ];
-  return `${[...common, ...lines].join("\r\n")}\r\n\r\n`;
-}
+const head = (method: string, lines: readonly string[] = []) =>
+  raw.requestHead(method, { lines, deadlineMs: 6_000 });
 
 const untilSeen = ({ seen }: Caller, pattern: RegExp) =>
   until(
--- a/tests/direct/raw_caller.ts
+++ b/tests/direct/raw_caller.ts
@@ -1,6 +1,6 @@
 /** A caller that shows how its connection ends, which HTTP clients may hide. */
 
-import { connect } from "node:net";
+import { connect, type Socket } from "node:net";
 
 /** What a caller has received, and how its connection ended. */
 export interface RawResponse {
@@ -30,3 +30,50 @@
     socket.on("error", () => resolve({ text, end: "reset" }));
   });
 }
+
+/** A connection whose bytes a test writes and reads as they are. */
+export interface Caller {
+  readonly socket: Socket;
+  /** What the router has sent, and how it has closed the connection. */
+  readonly seen: { text: string; end: "open" | "ended" | "reset" };
+}
+
+/** Opens a connection to a router; destroy its socket at the test's end. */
+export async function connectCaller(port: number): Promise<Caller> {
+  const socket = connect(port, "127.0.0.1");
+  const seen: Caller["seen"] = { text: "", end: "open" };
+  socket.on("data", (bytes) => {
+    seen.text += bytes.toString("latin1");
+  });
+  socket.on("end", () => {
+    seen.end = "ended";
+  });
+  socket.on("error", () => {
+    seen.end = "reset";
+  });
+  await new Promise<void>((resolve) => socket.once("connect", resolve));
+  return { socket, seen };
+}
+
+let lastId = 0;
+
+/** Returns the head of a request with an id of its own. */
+export function requestHead(
+  method: string,
+  {
+    lines = [],
+    deadlineMs,
+  }: {
+    readonly lines?: readonly string[];
+    readonly deadlineMs: number;
+  },
+): string {
+  lastId += 1;
+  const common = [
+    `${method} /lookup/1 HTTP/1.1`,
+    "Host: desk.example",
+    `X-Attempt-Id: id-${lastId}`,
+    `X-Deadline-Ms: ${deadlineMs}`,
+  ];
+  return `${[...common, ...lines].join("\r\n")}\r\n\r\n`;
+}
