Keep to the limits that backend servers name

Cause: nothing read the limit in a response. Class: advice of a peer that no process acts on, and that each would have to act on together with the others.

Change: routers report limits to the engine's admission controller, which counts the permits of all routers; without one, each keeps to its share, and routers tell each other of plain servers' limits through any controller. Placement passes over servers that are at their limit but copies prefixes from their caches; requests that limits leave no room for are refused at once, with the wait as Retry-After. Every change of a limit is logged.

Ruled out: retries, hedges and sends without a permit as the source; the requests over the limit had one send each.

--- a/src/admission/admission_process.ts
+++ b/src/admission/admission_process.ts
@@ -5,6 +5,7 @@
 import type { EventLog } from "../common/event_log.ts";
 import type {
   CrashReport,
+  RequestLimitNotice,
   ServerReport,
   SoundReport,
   TeamUsage,
@@ -115,6 +116,8 @@
     const { instance } = connection.peer;
     const session = new RouterSession(connection, this.#controller, {
       onReport: (report) => this.#relayReport(report, session),
+      onLimitChange: () => this.#logLimit(instance),
+      onOtherLimit: (notice) => this.#relayToOthers(notice, session),
     });
     this.#sessions.add(session);
     for (const report of this.#crashEvidence.reports())
@@ -127,9 +130,20 @@
     this.#events.warn("router-lost", { router: instance, reason });
   }
 
+  #logLimit(router: string): void {
+    const { requestsPerS, asks } = this.#controller.load;
+    this.#events.info("server-limit", { requestsPerS, router, asks });
+  }
+
   /** Routers have no connections to each other, so reports are relayed here. */
   #relayReport(report: CrashReport | SoundReport, from: RouterSession): void {
-    if (!this.#crashEvidence.add(report)) return;
+    if (this.#crashEvidence.add(report)) this.#relayToOthers(report, from);
+  }
+
+  #relayToOthers(
+    report: CrashReport | SoundReport | RequestLimitNotice,
+    from: RouterSession,
+  ): void {
     for (const session of this.#sessions) {
       if (session !== from) session.sendReport(report);
     }
--- a/src/admission/controller.ts
+++ b/src/admission/controller.ts
@@ -13,6 +13,7 @@
   EngineConfiguration,
   PermitOutcome,
   PermitRequest,
+  RequestLimitNotice,
   RunningRequest,
 } from "../protocol/mod.ts";
 import {
@@ -21,6 +22,7 @@
   PrefillRate,
   type PromptPart,
   type RequestInFlight,
+  RequestLimit,
   RequestsInFlight,
   ServerHealth,
   SMALLEST_SAMPLE_TOKENS,
@@ -57,6 +59,10 @@
   readonly tokensPerMs: number;
   /** Share of recent requests that the engine failed, 0 to 1. */
   readonly failureShare: number;
+  /** Limit on requests per second that the engine names; null for none. */
+  readonly requestsPerS: number | null;
+  /** Requests that the limit allows at once; 0 without a limit. */
+  readonly freeSlots: number;
 }
 
 /**
@@ -83,10 +89,12 @@
   readonly #inFlight = new RequestsInFlight();
   #health = new ServerHealth();
   readonly #tokenBucket: TokenBucket;
+  #requestLimit: RequestLimit;
 
   constructor(clock: Clock) {
     this.#clock = clock;
     this.#tokenBucket = new TokenBucket(clock);
+    this.#requestLimit = new RequestLimit(clock);
     this.recentUsage = new RecentUsage(clock);
   }
 
@@ -97,8 +105,12 @@
     for (const { request } of this.#queue)
       askedTokens += this.#countUncachedTokens(request);
     const failureShare = this.#health.failureShare(this.#clock.monotonicMs());
-    const queued = { asks: this.#queue.size, askedTokens };
-    return { ...this.#inFlight.work, ...queued, tokensPerMs, failureShare };
+    const { requestsPerS } = this.#requestLimit;
+    return {
+      ...this.#inFlight.work,
+      ...{ asks: this.#queue.size, askedTokens, tokensPerMs, failureShare },
+      ...{ requestsPerS, freeSlots: this.#requestLimit.freeSlots(1) },
+    };
   }
 
   /** Condition of the engine, judged by the outcome and speed of requests. */
@@ -123,6 +135,7 @@
       this.#predictedCache = new PredictedCache(configuration.cacheTokens);
       this.#predictedCache.note({ parts: this.#listedParts });
       this.#health = new ServerHealth();
+      this.#requestLimit = new RequestLimit(this.#clock);
       this.#listedParts = [];
     }
     if (previous === null)
@@ -141,6 +154,20 @@
     this.admitQueued();
   }
 
+  /** Whether a limit is that of the engine's server, as it runs now. */
+  isFor(notice: RequestLimitNotice): boolean {
+    const configuration = this.#configuration;
+    return configuration !== null && isSameServerStart(configuration, notice);
+  }
+
+  /** Applies the limit that the engine names; returns whether it changed. */
+  noteRequestLimit({ requestsPerS, ageMs }: RequestLimitNotice): boolean {
+    const sentAtMs = this.#clock.monotonicMs() - ageMs;
+    const isChanged = this.#requestLimit.observe({ requestsPerS, sentAtMs });
+    if (isChanged) this.admitQueued();
+    return isChanged;
+  }
+
   /** Queues a request until the engine has capacity for it. */
   enqueue(router: PermitReceiver, request: PermitRequest): void {
     const dueAtMs = this.#clock.monotonicMs() + request.leftMs;
@@ -223,6 +250,7 @@
       this.recentUsage.add(next.request.team, next.request.cost);
       this.#count(next, "permitted");
       this.#tokenBucket.spend(uncachedTokens);
+      this.#requestLimit.spend(1);
       this.#startRun(next.router, next.request, uncachedTokens);
       next.router.permit(next.request.ask, uncachedTokens);
     }
@@ -239,6 +267,7 @@
 
   #hasCapacity(request: PermitRequest, uncachedTokens: number): boolean {
     if (this.#configuration === null) return false;
+    if (this.#requestLimit.delayMs(1) > 0) return false;
     if (
       !this.#tokenBucket.hasTokens &&
       !this.#isLightlyLoaded(this.#configuration)
@@ -319,8 +348,8 @@
 }
 
 function isSameServerStart(
-  a: EngineConfiguration,
-  b: EngineConfiguration,
+  a: Pick<EngineConfiguration, "server" | "startedAtMs">,
+  b: Pick<EngineConfiguration, "server" | "startedAtMs">,
 ): boolean {
   return a.server === b.server && a.startedAtMs === b.startedAtMs;
 }
--- a/src/admission/router_session.ts
+++ b/src/admission/router_session.ts
@@ -3,6 +3,7 @@
 import type {
   CrashReport,
   Message,
+  RequestLimitNotice,
   ServerReport,
   SoundReport,
 } from "../protocol/mod.ts";
@@ -10,24 +11,29 @@
 import type { PermitReceiver } from "./admission_queue.ts";
 import type { AdmissionController } from "./controller.ts";
 
+/** Notices of what a router has sent. */
+export interface RouterSessionListener {
+  onReport(report: CrashReport | SoundReport): void;
+  /** The engine's limit on requests has changed. */
+  onLimitChange(): void;
+  /** A server without an admission controller has named a limit. */
+  onOtherLimit(notice: RequestLimitNotice): void;
+}
+
 /** Passes a router's messages to the admission controller, and its replies. */
 export class RouterSession implements PermitReceiver {
   readonly #connection: Connection;
   readonly #controller: AdmissionController;
-  readonly #onReport: (report: CrashReport | SoundReport) => void;
+  readonly #listener: RouterSessionListener;
 
   constructor(
     connection: Connection,
     controller: AdmissionController,
-    {
-      onReport,
-    }: {
-      readonly onReport: (report: CrashReport | SoundReport) => void;
-    },
+    listener: RouterSessionListener,
   ) {
     this.#connection = connection;
     this.#controller = controller;
-    this.#onReport = onReport;
+    this.#listener = listener;
   }
 
   /** Serves the connection until it closes, then drops the router's work. */
@@ -46,7 +52,9 @@
   }
 
   /** Sends the engine's load, or what another router has reported. */
-  sendReport(report: ServerReport | CrashReport | SoundReport): void {
+  sendReport(
+    report: ServerReport | CrashReport | SoundReport | RequestLimitNotice,
+  ): void {
     this.#connection.send(report);
   }
 
@@ -70,9 +78,15 @@
       case "finished":
         this.#controller.finish(this, message.ask, message.outcome);
         return;
+      case "request-limit":
+        if (!this.#controller.isFor(message))
+          this.#listener.onOtherLimit(message);
+        else if (this.#controller.noteRequestLimit(message))
+          this.#listener.onLimitChange();
+        return;
       case "crash-report":
       case "sound-report":
-        this.#onReport(message);
+        this.#listener.onReport(message);
         return;
       case "heartbeat":
         return;
--- a/src/direct/admission_client.ts
+++ b/src/direct/admission_client.ts
@@ -2,6 +2,7 @@
 
 import type { Clock } from "../common/clock.ts";
 import type { EventLog } from "../common/event_log.ts";
+import type { BackendServer } from "../directory/mod.ts";
 import { RecentUsage } from "../fairness/mod.ts";
 import type {
   CrashReport,
@@ -10,6 +11,7 @@
   PackedPart,
   Permit as PermitMessage,
   PermitOutcome,
+  RequestLimitNotice,
   RunningRequest,
   ServerReport,
   SoundReport,
@@ -18,6 +20,7 @@
   costOf,
   type EngineAdmission,
   type EngineReport,
+  type LimitObservation,
   type Outcome,
   type Permit,
   type PermitCallbacks,
@@ -43,6 +46,8 @@
   readonly crashReports: () => readonly CrashReport[];
   /** Called when another router reports a crash or a sound response. */
   readonly onReport: (report: CrashReport | SoundReport) => void;
+  /** Called when another router reports a limit of another server. */
+  readonly onRequestLimit: (notice: RequestLimitNotice) => void;
   /** Called on a new report and on a lost connection. */
   readonly onChange: () => void;
 }
@@ -69,8 +74,10 @@
   readonly #permittedRequests = new Map<number, PermittedRequest>();
   readonly #recentUsage: RecentUsage;
   #connection: Connection | null = null;
-  /** The latest report, plus the tokens that were requested here since. */
+  /** The latest report, plus what was requested here since. */
   #report: ServerReport | null = null;
+  /** The last limit that was reported here; null once a response has none. */
+  #limitNotice: RequestLimitNotice | null = null;
   #lastAskId = 0;
 
   constructor(deps: AdmissionClientDependencies) {
@@ -105,8 +112,8 @@
     if (configuration !== null) this.#connection?.send(configuration);
   }
 
-  /** Reports a crash or a sound response to the other routers. */
-  sendReport(report: CrashReport | SoundReport): void {
+  /** Has the other routers told, through the admission controller. */
+  sendReport(report: CrashReport | SoundReport | RequestLimitNotice): void {
     this.#connection?.send(report);
   }
 
@@ -114,6 +121,22 @@
     return this.#recentUsage.of(team);
   }
 
+  noteRequestLimit(
+    { id, startedAtMs }: BackendServer,
+    { requestsPerS, sentAtMs }: LimitObservation,
+  ): void {
+    const isLimited = requestsPerS !== null;
+    const isKnown = isLimited || (this.#report?.requestsPerS ?? null) !== null;
+    if (!isKnown && this.#limitNotice === null) return;
+    const ageMs = this.#deps.clock.monotonicMs() - sentAtMs;
+    const notice: RequestLimitNotice = {
+      ...{ type: "request-limit", server: id, startedAtMs },
+      ...{ requestsPerS, ageMs },
+    };
+    this.#limitNotice = isLimited ? notice : null;
+    this.#connection?.send(notice);
+  }
+
   requestPermit(
     parameters: PermitParameters,
     callbacks: PermitCallbacks,
@@ -142,7 +165,7 @@
     const report = this.#report;
     if (report === null) return;
     const askedTokens = report.askedTokens + (parts.at(-1)?.tokens ?? 0);
-    this.#report = { ...report, askedTokens };
+    this.#report = { ...report, asks: report.asks + 1, askedTokens };
   }
 
   async #serve(connection: Connection): Promise<void> {
@@ -153,6 +176,8 @@
     for (const [ask, permitted] of this.#permittedRequests) {
       connection.send(runningRequestMessage(ask, permitted));
     }
+    // An admission controller that has restarted knows no limit.
+    if (this.#limitNotice !== null) connection.send(this.#limitNotice);
     for (const report of this.#deps.crashReports()) connection.send(report);
     // "Gate" in log events means the admission controller.
     this.#deps.events.info("gate-connected", { gate });
@@ -186,6 +211,9 @@
       case "sound-report":
         this.#deps.onReport(message);
         return;
+      case "request-limit":
+        this.#deps.onRequestLimit(message);
+        return;
       case "heartbeat":
         return;
       default:
--- a/src/direct/admission_clients.ts
+++ b/src/direct/admission_clients.ts
@@ -6,10 +6,11 @@
 import type {
   CrashReport,
   EngineConfiguration,
+  RequestLimitNotice,
   SoundReport,
 } from "../protocol/mod.ts";
 import type { RouteTable } from "../routing/mod.ts";
-import type { EngineAdmission } from "../scheduling/mod.ts";
+import type { EngineAdmission, LimitObservation } from "../scheduling/mod.ts";
 import { type Identity, Traffic } from "../transport/mod.ts";
 import { AdmissionClient } from "./admission_client.ts";
 import type { DirectRouterSettings } from "./settings.ts";
@@ -33,6 +34,8 @@
   crashReports(): readonly CrashReport[];
   /** Called when another router reports a crash or a sound response. */
   onReport(report: CrashReport | SoundReport): void;
+  /** Called when another router reports a limit. */
+  onRequestLimit(notice: RequestLimitNotice): void;
 }
 
 /** Client and servers of one host; an admission controller serves its host. */
@@ -45,6 +48,12 @@
   readonly servers: Map<string, BackendServer>;
 }
 
+/**
+ * Admission controllers that relay a limit to the other routers: a second one,
+ * because the first may be cut off from some of them.
+ */
+const LIMIT_RELAYS = 2;
+
 /** One client for each host that runs an engine. */
 export class AdmissionClients {
   readonly #deps: AdmissionClientsDependencies;
@@ -101,6 +110,23 @@
     for (const { client } of this.#entries.values()) client.sendReport(report);
   }
 
+  /** Tells the other routers of the limit that a server without one names. */
+  shareRequestLimit(
+    { id, startedAtMs }: BackendServer,
+    { requestsPerS, sentAtMs }: LimitObservation,
+  ): void {
+    const ageMs = this.#deps.clock.monotonicMs() - sentAtMs;
+    const connected = [...this.#entries.values()]
+      .map(({ client }) => client)
+      .filter((client) => client.connected);
+    for (const client of connected.slice(0, LIMIT_RELAYS)) {
+      client.sendReport({
+        ...{ type: "request-limit", server: id, startedAtMs },
+        ...{ requestsPerS, ageMs },
+      });
+    }
+  }
+
   /** Closes all connections. */
   close(): void {
     for (const { client } of this.#entries.values()) client.close();
@@ -118,6 +144,7 @@
       onChange: () => this.#callbacks.onChange(),
       crashReports: () => this.#callbacks.crashReports(),
       onReport: (report) => this.#callbacks.onReport(report),
+      onRequestLimit: (notice) => this.#callbacks.onRequestLimit(notice),
     });
   }
 
--- a/src/direct/dialect.ts
+++ b/src/direct/dialect.ts
@@ -17,6 +17,13 @@
   readonly lastEventId: string | null;
 }
 
+/** What a response states about how many requests its server takes. */
+export type StatedLimit =
+  | { readonly type: "limited"; readonly requestsPerS: number }
+  | { readonly type: "unlimited" }
+  /** The response is not the server's own, or its limit can't be read. */
+  | { readonly type: "unstated" };
+
 /** What a backend server states in its response's headers. */
 export interface ResponseTerms {
   /** Id of the request that it responds to; null if not stated. */
@@ -25,6 +32,8 @@
   readonly notRun: boolean;
   /** Whether the response has the seal that backend servers add. */
   readonly authentic: boolean;
+  /** Requests per second that the server takes from all routers together. */
+  readonly requestLimit: StatedLimit;
 }
 
 /** What the router states in the headers that it sends to a server. */
--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -4,9 +4,10 @@
 import { systemClock } from "../common/clock.ts";
 import type { EventLog } from "../common/event_log.ts";
 import { sleep } from "../common/promises.ts";
-import { ServerDirectory } from "../directory/mod.ts";
+import { ServerDirectory, startKeyOf } from "../directory/mod.ts";
 import { TeamShares, TeamTally } from "../fairness/mod.ts";
 import * as metrics from "../metrics/mod.ts";
+import type { RequestLimitNotice } from "../protocol/mod.ts";
 import { Scheduler } from "../scheduling/mod.ts";
 import type { Identity } from "../transport/mod.ts";
 import { AdmissionClients } from "./admission_clients.ts";
@@ -38,6 +39,8 @@
 const DRAIN_CHECK_INTERVAL_MS = 20;
 /** Interval of the log lines that tell what became of each team's requests. */
 const TEAM_LOG_INTERVAL_MS = 1_000;
+/** Ends of requests in whose intervals the teams are logged. */
+const LOGGED_ENDS = ["no-room", "limited", "overloaded"];
 /** Teams per interval that are logged. */
 const LOGGED_TEAMS = 8;
 const SWEEP_INTERVAL_MS = 100;
@@ -90,6 +93,7 @@
         onChange: () => this.#handleAdmissionChange(),
         crashReports: () => this.#crashGuard.reports(),
         onReport: (report) => this.#crashGuard.receive(report),
+        onRequestLimit: (notice) => this.#handleRequestLimit(notice),
       },
     );
     this.#crashGuard = new CrashGuard({
@@ -99,6 +103,8 @@
     this.#scheduler = new Scheduler({
       ...{ clock, availabilityZone },
       admissionOf: (server) => this.#admissionClients.of(server),
+      shareRequestLimit: (server, observation) =>
+        this.#admissionClients.shareRequestLimit(server, observation),
     });
     this.#retryBudget = new RetryBudget(clock, retryLimitsOf(retries));
     this.#callerServer = new CallerServer({
@@ -208,6 +214,10 @@
       () => this.#pool.connectAttempts,
     );
     registry.gauge("oriole_routers", () => this.#scheduler.routers);
+    registry.gauge(
+      "oriole_limited_servers",
+      () => this.#scheduler.limitedServers,
+    );
     registry.gauge("oriole_quarantined", () => this.#crashGuard.suspects);
     registry.gauge("oriole_crash_causes", () => this.#crashGuard.causes);
     registry.gauge(
@@ -236,7 +246,7 @@
   /** Logs the largest teams of an interval in which requests were refused. */
   #logTeams(): void {
     const tally = this.#teamTally;
-    const isLogged = tally.has("no-room") || tally.has("overloaded");
+    const isLogged = LOGGED_ENDS.some((end) => tally.has(end));
     const teams = tally.take(LOGGED_TEAMS);
     if (!isLogged) return;
     for (const { team, counts } of teams)
@@ -248,6 +258,18 @@
     this.#scheduler.dispatchAll();
   }
 
+  #handleRequestLimit(notice: RequestLimitNotice): void {
+    const { server, startedAtMs, requestsPerS, ageMs } = notice;
+    const sentAtMs = this.#clock.monotonicMs() - ageMs;
+    const isChanged = this.#scheduler.noteRequestLimit(
+      startKeyOf({ id: server, startedAtMs }),
+      { requestsPerS, sentAtMs },
+    );
+    if (!isChanged) return;
+    this.#events.info("server-limit", { server, requestsPerS, request: null });
+    this.#scheduler.dispatchAll();
+  }
+
   #isReady(): boolean {
     if (this.#closing || this.configuration.table === null) return false;
     return this.#callerServer.isReady;
--- a/src/direct/mod.ts
+++ b/src/direct/mod.ts
@@ -6,6 +6,7 @@
   RequestTerms,
   ResponseHeaders,
   ResponseTerms,
+  StatedLimit,
 } from "./dialect.ts";
 export { DirectRouter } from "./direct_router.ts";
 export { explain, type RequestDescription } from "./explanation.ts";
--- a/src/direct/relay.ts
+++ b/src/direct/relay.ts
@@ -61,6 +61,8 @@
   readonly onResumed: () => void;
   /** Called before bytes of the response are forwarded. */
   readonly onClaim: () => void;
+  /** Called once on the head of a response from the server. */
+  readonly onHead: (terms: ResponseTerms) => void;
   /** Called on all data of the body. */
   readonly onData: () => void;
 }
@@ -171,6 +173,7 @@
       this.#break(rejection);
       return;
     }
+    this.#options.onHead(terms);
     this.#status = status;
     this.#headers = headers;
     this.#disposition = this.#dispositionOf(status, terms);
--- a/src/direct/request_sender.ts
+++ b/src/direct/request_sender.ts
@@ -15,7 +15,7 @@
 import type { CallerResponse } from "./caller_response.ts";
 import type { ConnectionPool } from "./connection_pool.ts";
 import type { CrashGuard } from "./crash_guard.ts";
-import type { Dialect } from "./dialect.ts";
+import type { Dialect, ResponseTerms } from "./dialect.ts";
 import { EventSplitter, type StreamProgress } from "./event_splitter.ts";
 import { HedgedSend, type SendOptions, type SendRole } from "./hedged_send.ts";
 import { Relay } from "./relay.ts";
@@ -207,6 +207,7 @@
           withholdsFailures: role === "backup" || this.isRepeatable,
           splitter: this.#progress && new EventSplitter(this.#progress),
           streaming: admitted.route.streaming,
+          onHead: (terms) => this.#recordLimit(placement, terms),
           onData: () => this.#recordData(placement, progress),
           silenceTimeoutMs: this.#silenceTimeoutMs,
         }),
@@ -241,6 +242,16 @@
     return objectiveMs * SILENCE_TIMEOUT_OBJECTIVES;
   }
 
+  #recordLimit(placement: Placement, { requestLimit }: ResponseTerms): void {
+    if (requestLimit.type === "unstated") return;
+    const isLimited = requestLimit.type === "limited";
+    const requestsPerS = isLimited ? requestLimit.requestsPerS : null;
+    if (!placement.noteRequestLimit(requestsPerS)) return;
+    const { id: request } = this.#options.record.logFields;
+    const server = placement.server.id;
+    this.#deps.events.info("server-limit", { server, requestsPerS, request });
+  }
+
   #recordData(placement: Placement, progress: ResponseProgress): void {
     if (!progress.hasData) {
       placement.noteFirstToken();
--- a/src/protocol/admission_messages.ts
+++ b/src/protocol/admission_messages.ts
@@ -82,6 +82,18 @@
   readonly uncachedTokens: number;
 }
 
+/** Reports the limit on requests that a response of the server has stated. */
+export interface RequestLimitNotice {
+  readonly type: "request-limit";
+  readonly server: string;
+  /** Start of the server, in Unix milliseconds; 0 when it isn't known. */
+  readonly startedAtMs: number;
+  /** Requests per second from all routers; null if the server has no limit. */
+  readonly requestsPerS: number | null;
+  /** Time since the request was sent to which the server responded. */
+  readonly ageMs: number;
+}
+
 /** A team's recent usage at one server. */
 export type TeamUsage = readonly [team: string, usage: number];
 
@@ -102,6 +114,10 @@
   readonly tokensPerMs: number;
   /** Share of recent requests that the server failed, 0 to 1. */
   readonly failureShare: number;
+  /** Limit on requests per second that the server names; null for none. */
+  readonly requestsPerS: number | null;
+  /** Requests that the limit allows at once; 0 without a limit. */
+  readonly freeSlots: number;
   /** Routers that are connected. */
   readonly routers: number;
   /** Teams whose recent usage has grown; all teams in the first report. */
--- a/src/protocol/field_numbers.ts
+++ b/src/protocol/field_numbers.ts
@@ -27,7 +27,7 @@
   ...["leftMs", "begun", "uncachedTokens", "runs", "unreadTokens"],
   ...["privateTokens", "asks", "askedTokens", "tokensPerMs", "routers"],
   ...["cacheTokens", "server", "startedAtMs", "copiedTokens", "failureShare"],
-  ...["ageMs", "requests", "suspects"],
+  ...["ageMs", "requests", "suspects", "requestsPerS", "freeSlots"],
 ] as const;
 
 /** Number of each field name. */
--- a/src/protocol/message.ts
+++ b/src/protocol/message.ts
@@ -7,6 +7,7 @@
   PermitRelease,
   PermitRequest,
   PermitWithdrawal,
+  RequestLimitNotice,
   RunningRequest,
   ServerReport,
 } from "./admission_messages.ts";
@@ -106,5 +107,6 @@
   | PermitWithdrawal
   | FirstEventNotice
   | PermitRelease
+  | RequestLimitNotice
   | Permit
   | ServerReport;
--- a/src/protocol/schema.ts
+++ b/src/protocol/schema.ts
@@ -8,6 +8,7 @@
 const text = { type: "string", maxLength: 4096 };
 const count = { type: "integer", minimum: 0 };
 const amount = { type: "number", minimum: 0 };
+const optionalAmount = { type: ["number", "null"], minimum: 0 };
 const flag = { type: "boolean" };
 const bytes = { bytes: true };
 const header = tuple(text, text);
@@ -147,6 +148,12 @@
   withdraw: { ask: count },
   begun: { ask: count },
   finished: { ask: count, outcome: { enum: ["served", "failed", "neutral"] } },
+  "request-limit": {
+    server: text,
+    startedAtMs: amount,
+    requestsPerS: optionalAmount,
+    ageMs: amount,
+  },
   permit: { ask: count, uncachedTokens: amount },
   "server-report": {
     runs: count,
@@ -156,6 +163,8 @@
     askedTokens: amount,
     tokensPerMs: amount,
     failureShare: amount,
+    requestsPerS: optionalAmount,
+    freeSlots: count,
     routers: count,
     teams,
   },
--- a/src/scheduling/engine_admission.ts
+++ b/src/scheduling/engine_admission.ts
@@ -3,8 +3,10 @@
  * routers when one engine takes a request.
  */
 
+import type { BackendServer } from "../directory/mod.ts";
 import type { Demand, Prompt } from "./demand.ts";
 import type { Outcome } from "./outcome.ts";
+import type { LimitObservation } from "./request_limit.ts";
 import type { Work } from "./work.ts";
 
 /** State of an engine over all routers, as it is reported to each router. */
@@ -17,6 +19,10 @@
   readonly tokensPerMs: number;
   /** Share of recent requests that the engine failed, 0 to 1. */
   readonly failureShare: number;
+  /** Limit on requests per second that the engine names; null for none. */
+  readonly requestsPerS: number | null;
+  /** Requests that the limit allows at once; 0 without a limit. */
+  readonly freeSlots: number;
   /** Number of routers that are connected to the admission controller. */
   readonly routers: number;
 }
@@ -63,4 +69,6 @@
   ): () => void;
   /** Recent usage by a team at this engine, in prompt tokens. */
   usageOf(team: string): number;
+  /** Reports the limit that a response of the engine's server states. */
+  noteRequestLimit(server: BackendServer, observation: LimitObservation): void;
 }
--- a/src/scheduling/placement.ts
+++ b/src/scheduling/placement.ts
@@ -44,6 +44,12 @@
 const RUN_COST_MS = 1;
 /** Lower bound that keeps the cost of a stalled engine finite. */
 const MIN_TOKENS_PER_MS = 0.01;
+/**
+ * Share of its objective that a request may wait for the limit of one server.
+ * Beyond that, it goes to a server that has room, or waits in the router's own
+ * queue until one has.
+ */
+const MAX_LIMIT_DELAY_SHARE = 0.3;
 /** Cost of another zone at a plain server, in requests in flight. */
 const OTHER_ZONE_COST_RUNS = 0.5;
 
@@ -73,12 +79,17 @@
   context: PlacementContext,
 ): Choice | null {
   const usable = loads.filter(
-    ({ server, health }) =>
-      server.state === "ready" &&
-      !demand.excluded.has(server.id) &&
-      health.isUsable(context.nowMs),
+    (load) =>
+      load.server.state === "ready" &&
+      !demand.excluded.has(load.id) &&
+      load.health.isUsable(context.nowMs),
   );
-  if (demand.prompt === null) return choosePlainServer(usable, context);
+  if (demand.prompt === null) {
+    const servers = usable.filter((load) =>
+      isWithinLimit(load, demand, context),
+    );
+    return choosePlainServer(servers, context);
+  }
   return chooseEngine(
     demand,
     demand.prompt,
@@ -87,6 +98,17 @@
   );
 }
 
+function isWithinLimit(
+  load: ServerLoad,
+  { objectiveMs }: Demand,
+  { share }: PlacementContext,
+): boolean {
+  const delayMs = load.limitDelayMs(share);
+  // Without a permit, the request would be sent at once.
+  if (!load.needsPermit) return delayMs === 0;
+  return delayMs <= objectiveMs * MAX_LIMIT_DELAY_SHARE;
+}
+
 /**
  * Leaves out engines that fail requests. Returns all if most of them do: the
  * cause is then hardly in the engines.
@@ -132,18 +154,23 @@
   usable: readonly ServerLoad[],
   context: PlacementContext,
 ): Choice | null {
-  const owners = ownersOf(prompt.parts, usable);
+  const withinLimit = usable.filter((load) =>
+    isWithinLimit(load, demand, context),
+  );
+  const owners = ownersOf(prompt.parts, withinLimit);
+  // The owners but for limits: their caches still have the prefix.
+  const sources = ownersOf(prompt.parts, usable);
   let best: Choice | null = null;
   let bestCostMs = Number.POSITIVE_INFINITY;
-  for (const [order, load] of owners.entries()) {
-    const source = copySourceFor(load, prompt, owners);
-    const missingTokens = missingTokensAt(load, prompt, order === 0);
+  for (const load of owners) {
+    const source = copySourceFor(load, prompt, sources);
+    const missingTokens = missingTokensAt(load, prompt, load === sources[0]);
     const uncachedTokens = Math.min(
       missingTokens,
       prompt.inputTokens - source.copiedTokens,
     );
     const canAccept =
-      load.admission?.connected === true ||
+      load.needsPermit ||
       hasCapacity(load, demand, { uncachedTokens, context });
     if (!canAccept) continue;
     const { tokens, runs, tokensPerMs } = backlogAt(load, context.share);
@@ -154,6 +181,7 @@
     const costMs =
       weightedTokens / Math.max(tokensPerMs, MIN_TOKENS_PER_MS) +
       runs * RUN_COST_MS +
+      load.limitDelayMs(context.share) +
       load.failureShare(context.nowMs) * demand.objectiveMs;
     if (costMs >= bestCostMs) continue;
     best = { load, uncachedTokens, ...source };
@@ -227,17 +255,22 @@
   return { tokens: unreadTokens + askedTokens, runs, tokensPerMs };
 }
 
-/** The other owner of the prefix, if copying from its cache is fast enough. */
+/** Another owner of the prefix, if copying from its cache is fast enough. */
 function copySourceFor(
   load: ServerLoad,
   prompt: Prompt,
-  owners: readonly ServerLoad[],
+  sources: readonly ServerLoad[],
 ): Pick<Choice, "source" | "copiedTokens"> {
   const copiedTokensPerMs = load.engine?.copiedTokensPerMs ?? 0;
   const isFastEnough =
     copiedTokensPerMs >= load.prefillRate.tokensPerMs * MIN_COPY_SPEEDUP;
-  const other = owners.find((owner) => owner !== load);
-  if (!isFastEnough || other === undefined) return NO_SOURCE;
-  const copiedTokens = other.predictedCache.cachedTokens(prompt);
-  return { source: other.server, copiedTokens };
+  if (!isFastEnough) return NO_SOURCE;
+  let best: Pick<Choice, "source" | "copiedTokens"> = NO_SOURCE;
+  for (const { server, predictedCache } of sources) {
+    if (server.id === load.id) continue;
+    const copiedTokens = predictedCache.cachedTokens(prompt);
+    if (best.source === null || copiedTokens > best.copiedTokens)
+      best = { source: server, copiedTokens };
+  }
+  return best;
 }
--- a/src/scheduling/refusal.ts
+++ b/src/scheduling/refusal.ts
@@ -8,7 +8,13 @@
 import type { Demand } from "./demand.ts";
 
 /** Why a request is refused. */
-export type Reason = "no-server" | "no-room" | "too-late" | "stopping";
+export type Reason =
+  | "no-server"
+  | "no-room"
+  /** The limits that all servers name leave no room in time. */
+  | "limited"
+  | "too-late"
+  | "stopping";
 
 /** Whether a request may wait, decided on its arrival. */
 export interface ArrivalDecision {
@@ -25,6 +31,8 @@
 const RETRY_AFTER_SHARE = 0.3;
 /** Largest random addition to a retry delay, as a share of it. */
 const RETRY_JITTER_SHARE = 0.5;
+/** Limits change with the load of servers, so a longer wait isn't foreseen. */
+const MAX_RETRY_AFTER_MS = 10_000;
 /** Retry delay of a caller whose service has no server. */
 const NO_SERVER_RETRY_AFTER_MS = 500;
 /** Retry delay of a caller that this router can't serve but another one may. */
@@ -35,6 +43,8 @@
   readonly nowMs: number;
   /** Number of the service's servers that are ready. */
   readonly servers: number;
+  /** Expected wait for the limits that all servers name; 0 without limits. */
+  readonly limitDelayMs: number;
 }
 
 /** Decides whether a request may wait, and for how long. */
@@ -42,8 +52,8 @@
   demand: Demand,
   context: ArrivalContext,
 ): ArrivalDecision {
-  const { nowMs, servers } = context;
-  const retryAfterMs = retryDelayMs(demand);
+  const { nowMs, servers, limitDelayMs } = context;
+  const retryAfterMs = retryDelayMs(demand, limitDelayMs);
   const leftMs = demand.deadlineAtMs - nowMs;
   if (leftMs <= 0) return { maxWaitMs: 0, reason: "too-late", retryAfterMs };
   const maxWaitMs = Math.min(demand.objectiveMs * MAX_WAIT_SHARE, leftMs / 2);
@@ -51,6 +61,8 @@
     const delayMs = withJitter(NO_SERVER_RETRY_AFTER_MS);
     return { maxWaitMs: 0, reason: "no-server", retryAfterMs: delayMs };
   }
+  if (limitDelayMs > maxWaitMs)
+    return { maxWaitMs: 0, reason: "limited", retryAfterMs };
   return { maxWaitMs, reason: "no-room", retryAfterMs };
 }
 
@@ -65,9 +77,17 @@
   return closeAtMs - objectiveMs * (1 - MAX_WAIT_SHARE);
 }
 
-/** Delay in milliseconds after which a refused caller should retry. */
-export function retryDelayMs({ objectiveMs }: Demand): number {
-  return withJitter(objectiveMs * RETRY_AFTER_SHARE);
+/**
+ * Delay in milliseconds after which a refused caller should retry.
+ *
+ * @param limitDelayMs wait for the limits that all servers name
+ */
+export function retryDelayMs(
+  { objectiveMs }: Demand,
+  limitDelayMs: number,
+): number {
+  const delayMs = Math.max(objectiveMs * RETRY_AFTER_SHARE, limitDelayMs);
+  return withJitter(Math.min(delayMs, MAX_RETRY_AFTER_MS));
 }
 
 /** Keeps callers that were refused together from retrying together. */
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -1,12 +1,17 @@
 /** Schedules the requests of one router: places, queues or refuses each. */
 
 import type { Clock } from "../common/clock.ts";
-import type { BackendServer, DirectoryChange } from "../directory/mod.ts";
+import {
+  type BackendServer,
+  type DirectoryChange,
+  startKeyOf,
+} from "../directory/mod.ts";
 import * as fairness from "../fairness/mod.ts";
 import type { Engine, RouteTable } from "../routing/mod.ts";
 import type { Demand } from "./demand.ts";
 import type { EngineAdmission, Permit } from "./engine_admission.ts";
 import { FairQueue } from "./fair_queue.ts";
+import { limitDelayMs } from "./limit_delay.ts";
 import type { Outcome } from "./outcome.ts";
 import { PendingRequest } from "./pending_request.ts";
 import {
@@ -16,6 +21,7 @@
 } from "./placement.ts";
 import { PrefillRate } from "./prefill_rate.ts";
 import * as refusal from "./refusal.ts";
+import type { LimitObservation } from "./request_limit.ts";
 import type { RequestInFlight } from "./requests_in_flight.ts";
 import { ServerLoad } from "./server_load.ts";
 
@@ -32,6 +38,11 @@
   readonly source: BackendServer | null;
   /** Call when the first token has arrived. */
   noteFirstToken(): void;
+  /**
+   * Applies the limit that the response states: requests per second, or null
+   * for none. Returns whether that is new to this router.
+   */
+  noteRequestLimit(requestsPerS: number | null): boolean;
   /** Releases the server's capacity; later calls are ignored. */
   release(outcome: Outcome): void;
 }
@@ -56,6 +67,14 @@
   readonly availabilityZone: string;
   /** Returns the client of a server's admission controller; null for none. */
   readonly admissionOf: (server: BackendServer) => EngineAdmission | null;
+  /**
+   * Tells other routers of a change of the limit that a server without an
+   * admission controller names.
+   */
+  readonly shareRequestLimit: (
+    server: BackendServer,
+    observation: LimitObservation,
+  ) => void;
 }
 
 /** Interval at which waiting requests are checked. */
@@ -118,6 +137,14 @@
     return Math.max(...reported, 0) || ASSUMED_ROUTERS;
   }
 
+  /** Number of servers that name a limit on requests. */
+  get limitedServers(): number {
+    const share = this.#routerShare;
+    return [...this.#loads.values()].filter(
+      (load) => load.limitedCapacity(share) !== null,
+    ).length;
+  }
+
   /** Prefill rate expected of one engine of a service, in tokens/ms. */
   expectedTokensPerMs(service: string): number {
     const tokensPerSecond = this.#table?.limits.tokensPerSecond ?? 0;
@@ -161,6 +188,7 @@
       {
         nowMs,
         servers: this.#countReady(demand.service),
+        limitDelayMs: this.#limitDelayMs(demand),
       },
     );
     if (maxWaitMs <= 0) {
@@ -184,6 +212,19 @@
     });
   }
 
+  /**
+   * Applies the limit that a server has named to another router; returns
+   * whether it is new here.
+   *
+   * @param startKey the start of the server, as of `startKeyOf`
+   */
+  noteRequestLimit(startKey: string, observation: LimitObservation): boolean {
+    const load = [...this.#loads.values()].find(
+      ({ server }) => startKeyOf(server) === startKey,
+    );
+    return load?.requestLimit.observe(observation) ?? false;
+  }
+
   /** Places every queued request that a server has capacity for now. */
   dispatchAll(): void {
     for (const service of this.#queues.keys()) this.#dispatch(service);
@@ -206,10 +247,14 @@
     return this.#options.clock.monotonicMs();
   }
 
+  /** Part of a server that this router may use without permits. */
+  get #routerShare(): number {
+    return 1 / this.routers;
+  }
+
   get #placementContext(): PlacementContext {
     const { availabilityZone } = this.#options;
-    const share = 1 / this.routers;
-    return { availabilityZone, nowMs: this.#nowMs, share };
+    return { availabilityZone, nowMs: this.#nowMs, share: this.#routerShare };
   }
 
   #dispatch(service: string): void {
@@ -231,8 +276,8 @@
   ): boolean {
     const choice = chooseServer(pending.demand, loads, context);
     if (choice === null) return false;
-    const { admission } = choice.load;
-    if (admission?.connected === true)
+    const { admission, needsPermit } = choice.load;
+    if (admission !== null && needsPermit)
       this.#requestPermit(pending, choice, admission);
     else this.#send(pending, choice, null);
     return true;
@@ -276,6 +321,7 @@
     const { prompt } = pending.demand;
     const nowMs = this.#nowMs;
     const run = load.begin(prompt, { uncachedTokens, nowMs });
+    if (permit === null) load.requestLimit.spend(this.#routerShare);
     let ended = false;
     this.#settle(pending, {
       ...{ type: "placed", server: load.server, uncachedTokens, source },
@@ -283,6 +329,15 @@
         permit?.begun();
         this.#noteFirstToken(load, run);
       },
+      noteRequestLimit: (requestsPerS) => {
+        const observation = { requestsPerS, sentAtMs: nowMs };
+        const isChanged = load.requestLimit.observe(observation);
+        if (load.admission !== null)
+          load.admission.noteRequestLimit(load.server, observation);
+        else if (isChanged)
+          this.#options.shareRequestLimit(load.server, observation);
+        return isChanged;
+      },
       release: (outcome) => {
         if (ended) return;
         ended = true;
@@ -378,7 +433,10 @@
   #refuse(pending: Request): void {
     this.#settle(pending, {
       ...{ type: "refused", reason: "no-room" },
-      retryAfterMs: refusal.retryDelayMs(pending.demand),
+      retryAfterMs: refusal.retryDelayMs(
+        pending.demand,
+        this.#limitDelayMs(pending.demand),
+      ),
       awaitedServer: awaitedServerOf(pending),
     });
   }
@@ -430,11 +488,31 @@
     ).length;
   }
 
+  /** Expected wait for limits, if all servers for the request name one. */
+  #limitDelayMs(demand: Demand): number {
+    const { service, excluded } = demand;
+    const loads = this.#loadsOf(service).filter(
+      ({ server }) => server.state === "ready" && !excluded.has(server.id),
+    );
+    const isLimited = loads.every(
+      (load) => load.limitedCapacity(this.#routerShare) !== null,
+    );
+    if (!isLimited) return 0;
+    const waiting = [...this.#pending]
+      .map((pending) => pending.demand)
+      .filter((other) => other.service === service);
+    return limitDelayMs(demand, {
+      ...{ loads, waiting, share: this.#routerShare },
+      queued: this.#queueOf(service).size,
+    });
+  }
+
   #createLoad(server: BackendServer): ServerLoad {
     const engine = this.#table?.service(server.service)?.engine ?? null;
     const rate = this.#prefillRateOf(server, engine);
     const admission = this.#options.admissionOf(server);
-    return new ServerLoad(server, engine, { rate, admission });
+    const { clock } = this.#options;
+    return new ServerLoad(server, engine, { clock, rate, admission });
   }
 
   /** Engines of one service are alike, so they share one estimate. */
--- a/src/scheduling/server_load.ts
+++ b/src/scheduling/server_load.ts
@@ -1,11 +1,13 @@
 /** State of one backend server, as one router sees it. */
 
+import type { Clock } from "../common/clock.ts";
 import type { BackendServer } from "../directory/mod.ts";
 import type { Engine } from "../routing/mod.ts";
 import { type Prompt, privateTokensOf } from "./demand.ts";
-import type { EngineAdmission } from "./engine_admission.ts";
+import type { EngineAdmission, EngineReport } from "./engine_admission.ts";
 import { PredictedCache } from "./predicted_cache.ts";
 import type { PrefillRate } from "./prefill_rate.ts";
+import { effectiveRate, RequestLimit } from "./request_limit.ts";
 import {
   type RequestInFlight,
   RequestsInFlight,
@@ -13,6 +15,18 @@
 import { ServerHealth } from "./server_health.ts";
 import type { Work } from "./work.ts";
 
+const MS_PER_SECOND = 1_000;
+
+/** Requests that a server takes under the limit that it names. */
+export interface LimitedCapacity {
+  /** Requests per second that this router may count on. */
+  readonly requestsPerS: number;
+  /** Requests that may be sent at once. */
+  readonly freeSlots: number;
+  /** Requests that wait for a permit, of all routers. */
+  readonly asks: number;
+}
+
 /** Load, expected cache contents and health of one server. */
 export class ServerLoad {
   server: BackendServer;
@@ -22,12 +36,15 @@
   readonly prefillRate: PrefillRate;
   /** Client of its admission controller; null if it has none. */
   readonly admission: EngineAdmission | null;
+  /** The limit that this router knows of; without permits, it is shared. */
+  readonly requestLimit: RequestLimit;
   readonly #inFlight = new RequestsInFlight();
 
   constructor(
     server: BackendServer,
     engine: Engine | null,
     deps: {
+      readonly clock: Clock;
       readonly rate: PrefillRate;
       readonly admission: EngineAdmission | null;
     },
@@ -36,6 +53,7 @@
     this.engine = engine;
     this.prefillRate = deps.rate;
     this.admission = deps.admission;
+    this.requestLimit = new RequestLimit(deps.clock);
     this.predictedCache = new PredictedCache(engine?.cacheTokens ?? 0);
     this.health = new ServerHealth();
   }
@@ -50,6 +68,42 @@
     return Math.max(this.health.failureShare(nowMs), reported);
   }
 
+  /** Whether an admission controller decides when requests are sent. */
+  get needsPermit(): boolean {
+    return this.admission?.connected === true;
+  }
+
+  /**
+   * What the server's limit allows; null without a limit.
+   *
+   * @param share part of the limit that this router may use without permits
+   */
+  limitedCapacity(share: number): LimitedCapacity | null {
+    const report = this.#permitReport;
+    const limit = report === null ? this.requestLimit : report;
+    if (limit.requestsPerS === null) return null;
+    const ratePerS = effectiveRate(limit.requestsPerS);
+    if (report === null) {
+      const freeSlots = this.requestLimit.freeSlots(share);
+      return { requestsPerS: ratePerS * share, freeSlots, asks: 0 };
+    }
+    const { freeSlots, asks } = report;
+    return { requestsPerS: ratePerS, freeSlots, asks };
+  }
+
+  /** Expected time until the server's limit allows one more request. */
+  limitDelayMs(share: number): number {
+    if (this.#permitReport === null) return this.requestLimit.delayMs(share);
+    const capacity = this.limitedCapacity(share);
+    if (capacity === null) return 0;
+    const { asks, freeSlots, requestsPerS } = capacity;
+    return (Math.max(0, asks + 1 - freeSlots) / requestsPerS) * MS_PER_SECOND;
+  }
+
+  get #permitReport(): EngineReport | null {
+    return this.needsPermit ? (this.admission?.report ?? null) : null;
+  }
+
   /** Work of this router's requests at the server. */
   get ownWork(): Work {
     return this.#inFlight.work;
--- a/tests/direct/admission_clients_test.ts
+++ b/tests/direct/admission_clients_test.ts
@@ -45,6 +45,7 @@
       onChange: () => {},
       crashReports: () => [],
       onReport: () => {},
+      onRequestLimit: () => {},
     },
   );
   const close = async () => {
--- a/tests/direct/hedged_send_test.ts
+++ b/tests/direct/hedged_send_test.ts
@@ -44,6 +44,7 @@
   return {
     ...{ type: "placed", server: createServer(options), uncachedTokens: 0 },
     ...{ source: null, noteFirstToken: () => {}, release: () => {} },
+    noteRequestLimit: () => false,
   };
 }
 
--- a/tests/direct/relay_test.ts
+++ b/tests/direct/relay_test.ts
@@ -24,7 +24,7 @@
     ...{ requestId: "id-1", dialect: headerDialect, splitter: null },
     ...{ withholdsFailures: true, streaming: false, silenceTimeoutMs: null },
     ...{ onSilence: () => {}, onResumed: () => {}, onClaim: () => {} },
-    onData: () => {},
+    ...{ onHead: () => {}, onData: () => {} },
   });
 }
 
--- a/tests/direct/server_limit_test.ts
+++ b/tests/direct/server_limit_test.ts
@@ -9,9 +9,11 @@
 import { freePorts } from "../../tools/fleet/ports.ts";
 import { until } from "../../tools/fleet/until.ts";
 import { createConfiguration, createRoute } from "../support/routes.ts";
+import { createServer } from "../support/servers.ts";
 import {
   events,
   FLEET_KEY,
+  letOtherTasksRun,
   type RouterFixture,
   serverHeaders,
   startRouter,
@@ -24,6 +26,8 @@
 const SETTLING_MS = 3_000;
 const WINDOW_MS = 4_000;
 const LIMIT_PER_S = 4;
+/** Time in which routers are connected to an admission process on loopback. */
+const CONNECT_MS = 1_000;
 /** The users' rule, for a window. */
 const ALLOWED = 1.5 * LIMIT_PER_S * (WINDOW_MS / 1_000) + 5;
 
@@ -76,12 +80,16 @@
   await admission.start();
 }
 
-async function startRouters(gatePort = 1): Promise<void> {
-  const engine = { slots: 64, cacheTokens: 400_000, copiedTokensPerMs: 0 };
-  const isEngine = gatePort !== 1;
-  const services = [
-    { name: "desk", maxConnections: 100, engine: isEngine ? engine : null },
-  ];
+/** `engine`: the service whose servers have an admission controller. */
+async function startRouters(
+  gatePort = 1,
+  { engine = gatePort === 1 ? "none" : "desk" } = {},
+): Promise<void> {
+  const terms = { slots: 64, cacheTokens: 400_000, copiedTokensPerMs: 0 };
+  const services = ["desk", "chat"].map((name) => ({
+    ...{ name, maxConnections: 100 },
+    engine: name === engine ? terms : null,
+  }));
   const routes = [createRoute({ objectiveMs: 1_000, timeoutMs: 4_000 })];
   const configuration = createConfiguration({ routes, services });
   const servers = limitedServers.map(({ server }) => server);
@@ -185,6 +193,26 @@
   assertWithinLimit(limited);
 });
 
+test("routers tell each other of the limit that a plain server names", async () => {
+  const limited = await startServer("0");
+  const [gatePort = 0] = await freePorts(1);
+  await startAdmission(gatePort);
+  await startRouters(gatePort, { engine: "chat" });
+  const chat = { id: "c1", service: "chat", host: "127.0.0.1", port: 1 };
+  for (const { router } of routers) router.directory.put(createServer(chat));
+  const [first, ...others] = routers;
+  assert.ok(first);
+  // Until each router has the report that counts the last one.
+  await delay(CONNECT_MS);
+  assert.equal((await call(first.port)).status, 200);
+  await letOtherTasksRun();
+  const calls = others.flatMap(({ port }) =>
+    Array.from({ length: 20 }, () => call(port)),
+  );
+  await Promise.all(calls);
+  assert.ok(limited.arrivedAtMs.length <= 5, `${limited.arrivedAtMs.length}`);
+});
+
 test("callers are refused early while every server is at its limit", async () => {
   await startServer(String(LIMIT_PER_S));
   const [gatePort = 0] = await freePorts(1);
--- a/tests/on_platform/decoders_test.ts
+++ b/tests/on_platform/decoders_test.ts
@@ -57,6 +57,30 @@
   });
 }
 
+for (const [value, expected] of [
+  ["2.5", { type: "limited", requestsPerS: 2.5 }],
+  ["0", { type: "limited", requestsPerS: 0 }],
+  [undefined, { type: "unlimited" }],
+  ["-1", { type: "unstated" }],
+  ["two", { type: "unstated" }],
+  ["", { type: "unstated" }],
+  ["NaN", { type: "unstated" }],
+  ["Infinity", { type: "unstated" }],
+] as const) {
+  test(`a response with the limit ${value} is understood`, () => {
+    const headers = { "x-response-seal": "seal", "server-limit": value };
+    const { requestLimit } = headerDialect.readResponse(200, headers);
+    assert.deepEqual(requestLimit, expected);
+  });
+}
+
+test("a response that isn't the server's own doesn't end its limit", () => {
+  const full = headerDialect.readResponse(503, { "x-not-executed": "1" });
+  assert.deepEqual(full.requestLimit, { type: "unstated" });
+  const other = headerDialect.readResponse(421, { "server-limit": "1" });
+  assert.deepEqual(other.requestLimit, { type: "unstated" });
+});
+
 test("the server decoder never throws, whatever the entry holds", () => {
   fc.assert(
     fc.property(fc.anything(), (spec) => {
--- a/tests/scheduling/closing_test.ts
+++ b/tests/scheduling/closing_test.ts
@@ -14,6 +14,7 @@
     clock: { monotonicMs: () => 1_000, wallMs: () => 1_000 },
     availabilityZone: "a",
     admissionOf: () => null,
+    shareRequestLimit: () => {},
   });
   const server = createServer({ id: "s1", service: "chat", slots: 4 });
   scheduler.apply({ type: "joined", server });
--- a/tests/scheduling/placement_test.ts
+++ b/tests/scheduling/placement_test.ts
@@ -11,6 +11,7 @@
 import { chooseServer } from "../../src/scheduling/placement.ts";
 import { PrefillRate } from "../../src/scheduling/prefill_rate.ts";
 import { ServerLoad } from "../../src/scheduling/server_load.ts";
+import { createManualClock } from "../support/manual_clock.ts";
 import { createServer } from "../support/servers.ts";
 import { createDemand, createPrompt } from "./demands.ts";
 
@@ -30,6 +31,8 @@
     askedTokens: 0,
     tokensPerMs: 40,
     failureShare: 0,
+    requestsPerS: null,
+    freeSlots: 0,
     routers: 1,
   };
   return {
@@ -37,6 +40,7 @@
     report: { ...work, ...load, ...change },
     requestPermit: () => () => {},
     usageOf: () => 0,
+    noteRequestLimit: () => {},
   };
 }
 
@@ -46,7 +50,8 @@
   { engine = ENGINE, admission = null }: LoadOptions = {},
 ) {
   const server = createServer({ id, service: "chat", slots: 2, ...change });
-  const deps = { rate: new PrefillRate(40), admission };
+  const clock = createManualClock();
+  const deps = { clock, rate: new PrefillRate(40), admission };
   return new ServerLoad(server, engine, deps);
 }
 
@@ -113,6 +118,25 @@
   assert.equal(sourceAt(0).source, null);
 });
 
+test("requests that owners have no room for under their limits go elsewhere", () => {
+  const demand = createDemand({ prompt: createPrompt("head", "own") });
+  const chosen = new Set<string>();
+  const createAll = () =>
+    ["e1", "e2", "e3", "e4"].map((id) => {
+      const isFull = chosen.has(id);
+      const report = { requestsPerS: isFull ? 2 : null, asks: isFull ? 1 : 0 };
+      return createLoad(id, {}, { admission: createAdmission(report) });
+    });
+  for (let count = 1; count <= 4; count += 1) {
+    const next = chooseServer(demand, createAll(), CONTEXT)?.load.id;
+    assert.ok(next);
+    chosen.add(next);
+  }
+  assert.equal(chosen.size, 4);
+  // With all of them limited, the request waits here.
+  assert.equal(chooseServer(demand, createAll(), CONTEXT), null);
+});
+
 test("a request goes to the second owner when the first is slow", () => {
   const demand = createDemand({ prompt: createPrompt("head", "own") });
   const equallyFast = ["e1", "e2"].map((id) =>
--- a/tests/scheduling/prefix_copy_test.ts
+++ b/tests/scheduling/prefix_copy_test.ts
@@ -9,6 +9,7 @@
 import { PredictedCache } from "../../src/scheduling/predicted_cache.ts";
 import { PrefillRate } from "../../src/scheduling/prefill_rate.ts";
 import { ServerLoad } from "../../src/scheduling/server_load.ts";
+import { createManualClock } from "../support/manual_clock.ts";
 import { createServer } from "../support/servers.ts";
 import { createDemand, createPrompt } from "./demands.ts";
 
@@ -27,7 +28,11 @@
   const load = new ServerLoad(
     createServer({ id, service: "chat", host: id, slots: 64 }),
     { slots: 64, cacheTokens: CACHE_TOKENS, copiedTokensPerMs },
-    { rate: new PrefillRate(TOKENS_PER_MS), admission: null },
+    {
+      clock: createManualClock(),
+      rate: new PrefillRate(TOKENS_PER_MS),
+      admission: null,
+    },
   );
   return { load, cache: new PredictedCache(CACHE_TOKENS), busyUntilMs: 0 };
 }
