--- a/src/direct/admit.ts
+++ b/src/direct/admit.ts
@@ -29,6 +29,8 @@
    * limit, whichever is shorter; null until the request is admitted.
    */
   allowedMs: number | null;
+  /** Request whose stream it takes up; null for none. */
+  resumes: string | null;
 }
 
 /** Context of one `admit` call. */
@@ -67,6 +69,7 @@
   }
   options.logFields.id = terms.value.id ?? "";
   options.logFields.tokens = costOf(terms.value);
+  options.logFields.resumes = terms.value.resumes;
   const { table } = configuration;
   if (table === null) return err(unavailableHere("no-configuration"));
   const { headerBytes: limitBytes, bodyBytes } = table.limits;
--- a/src/direct/dialect.ts
+++ b/src/direct/dialect.ts
@@ -15,6 +15,11 @@
   readonly prompt: Prompt | null;
   /** Id of the last event that the caller has; null for a new stream. */
   readonly lastEventId: string | null;
+  /**
+   * Id of the request whose response brought the first event of the stream;
+   * null for a new stream, or if it isn't stated.
+   */
+  readonly resumes: string | null;
 }
 
 /** What a response states about how many requests its server takes. */
--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -232,8 +232,9 @@
 
   #watchDirectory(): void {
     this.directory.onChange((change) => {
-      const { id, service, state } = change.server;
-      const fields = { change: change.type, server: id, service, state };
+      const { id, service, version, state } = change.server;
+      const server = { server: id, service, version, state };
+      const fields = { change: change.type, ...server };
       this.#events.info("server", fields);
       this.#scheduler.apply(change);
       this.#crashGuard.handleChange(change);
--- a/src/direct/request_record.ts
+++ b/src/direct/request_record.ts
@@ -25,6 +25,7 @@
   /** Identity of the request, as far as it is known. */
   readonly logFields: RequestLogFields = {
     ...{ id: "", team: null, route: null, tokens: 0, allowedMs: null },
+    resumes: null,
   };
   /** `end` value of the log line and the metrics: how the request ended. */
   end = "unknown";
@@ -87,7 +88,7 @@
     const tookMs = this.#sinceArrivalMs();
     this.#count(String(status ?? 0), tookMs);
     const { events, configuration, teamTally } = this.#deps;
-    const { id, team, route, tokens, allowedMs } = this.logFields;
+    const { id, team, route, tokens, allowedMs, resumes } = this.logFields;
     if (team !== null) teamTally.add(team, this.end, tokens);
     events.info("request", {
       ...{ request: id, team, route },
@@ -95,6 +96,8 @@
       ...{ awaited: this.#awaitedServer, tokens },
       uncached: this.#placement?.uncachedTokens ?? null,
       source: this.#placement?.source?.id ?? null,
+      version: this.#placement?.server.version ?? null,
+      resumes,
       ...{ status, waitedMs: this.#waitedMs },
       ...{ firstByteMs: this.#firstByteMs, tookMs, allowedMs },
       configuration: configuration.table?.version ?? 0,
--- a/src/directory/backend_server.ts
+++ b/src/directory/backend_server.ts
@@ -10,6 +10,8 @@
   readonly host: string;
   readonly port: number;
   readonly availabilityZone: string;
+  /** Version of its software. */
+  readonly version: string;
   /** Requests that it runs at once. */
   readonly slots: number;
   readonly state: ServerState;
@@ -32,6 +34,7 @@
     a.startedAtMs === b.startedAtMs &&
     a.host === b.host &&
     a.port === b.port &&
-    a.service === b.service
+    a.service === b.service &&
+    a.version === b.version
   );
 }
--- a/tests/on_platform/decoders_test.ts
+++ b/tests/on_platform/decoders_test.ts
@@ -33,6 +33,7 @@
     host: "10.0.0.9",
     port: 8080,
     availabilityZone: "a",
+    version: "v1",
     slots: 64,
     state: "ready",
     startedAtMs: 7,
@@ -51,6 +52,8 @@
   { state: "constructor" },
   { born: 1.5 },
   { born: "7" },
+  { version: 2 },
+  { version: undefined },
 ]) {
   test(`a server entry with ${JSON.stringify(change)} is rejected`, () => {
     assert.ok(decodeEntry(change).isErr());
--- a/tests/on_platform/end_to_end_test.ts
+++ b/tests/on_platform/end_to_end_test.ts
@@ -126,7 +126,7 @@
   store.put("config", "main", createConfiguration(1, "/a/"));
   store.put("servers", "i-1", {
     ...{ service: "m", address: `127.0.0.1:${backendServer.port}`, zone: "a" },
-    ...{ slots: 8, state: "ready" },
+    ...{ slots: 8, version: "v1", state: "ready" },
   });
 });
 
--- a/tests/on_platform/inspect_test.ts
+++ b/tests/on_platform/inspect_test.ts
@@ -31,6 +31,7 @@
   const defaults = {
     zone: "a",
     slots: 4,
+    version: "v1",
     state: "ready",
     address: "10.0.0.1:80",
   };
--- a/tests/support/servers.ts
+++ b/tests/support/servers.ts
@@ -12,6 +12,7 @@
     host: "10.0.0.1",
     port: 8080,
     availabilityZone: "a",
+    version: "v1",
     slots: 4,
     state: "ready",
     startedAtMs: 0,
