--- a/tests/direct/fixture.ts
+++ b/tests/direct/fixture.ts
@@ -45,6 +45,8 @@
   readonly retries?: DirectRouterSettings["retries"];
   /** Port of the admission processes; none listens on the default. */
   readonly gatePort?: number;
+  /** Software version of each server; `v1` by default. */
+  readonly versions?: readonly string[];
 }
 
 /**
@@ -74,6 +76,7 @@
     configuration = createConfiguration(),
     graceSeconds = 0.2,
     gatePort = 1,
+    versions = [],
     retries = { ratio: 1, windowSeconds: 10, slack: 100 },
   }: Omit<RouterFixtureOptions, "scripts">,
 ): Promise<RouterFixture> {
@@ -96,8 +99,9 @@
   );
   if (configuration !== null) router.configure(configuration);
   for (const [index, server] of servers.entries()) {
-    if (server.isListening)
-      announceServer(router, `s${index + 1}`, server.port);
+    if (!server.isListening) continue;
+    const options = { version: versions[index] ?? "v1" };
+    announceServer(router, `s${index + 1}`, server.port, options);
   }
   await router.start();
   const confirmTimer = setInterval(() => confirmConfiguration(router), 100);
@@ -116,9 +120,13 @@
   router: DirectRouter,
   id: string,
   port: number,
-  { startedAtMs = 0 }: { readonly startedAtMs?: number } = {},
+  {
+    startedAtMs = 0,
+    version = "v1",
+  }: { readonly startedAtMs?: number; readonly version?: string } = {},
 ): void {
-  const options = { id, host: "127.0.0.1", port, slots: 8, startedAtMs };
+  const start = { startedAtMs, version };
+  const options = { id, host: "127.0.0.1", port, slots: 8, ...start };
   router.directory.put(createServer(options));
 }
 
