Let a stream go on only at the version that began it

Cause: placement knew no version, and what a stream had begun as was known to one send of one router only. Class: state of a stream that was kept per send.

Change: the version of the server that sent the first event is one constraint on continuations, hedges and take-ups. Routers tell two admission controllers, not on the server's host, where they send a resumable request, before it can be answered; any router finds it there by the id in Resumes, also after the first one died. Unknown or disputed origins are refused with 503; a stream whose version is gone ends at once.

Ruled out: guessing from the directory for callers that name a request nobody knows; the record at the server's own controller alone, which is lost with it.

--- a/src/admission/admission_process.ts
+++ b/src/admission/admission_process.ts
@@ -3,8 +3,12 @@
 import { randomUUID } from "node:crypto";
 import { systemClock } from "../common/clock.ts";
 import type { EventLog } from "../common/event_log.ts";
+import { OriginMemory, packOrigin, unpackOrigin } from "../origins/mod.ts";
 import type {
   CrashReport,
+  OriginAnswer,
+  OriginNotice,
+  OriginQuery,
   RequestLimitNotice,
   ServerReport,
   SoundReport,
@@ -40,6 +44,8 @@
   readonly #settings: AdmissionSettings;
   readonly #events: EventLog;
   readonly #controller = new AdmissionController(systemClock);
+  /** Beginnings of streams at all servers, for routers to find. */
+  readonly #origins = new OriginMemory(systemClock);
   readonly #crashEvidence = new CrashEvidence(systemClock);
   readonly #sessions = new Set<RouterSession>();
   readonly #listener: Listener;
@@ -117,6 +123,8 @@
     const session = new RouterSession(connection, this.#controller, {
       onReport: (report) => this.#relayReport(report, session),
       onLimitChange: () => this.#logLimit(instance),
+      onOrigin: (notice) => this.#noteOrigin(notice),
+      findOrigin: (query) => this.#findOrigin(query),
       onOtherLimit: (notice) => this.#relayToOthers(notice, session),
     });
     this.#sessions.add(session);
@@ -130,6 +138,16 @@
     this.#events.warn("router-lost", { router: instance, reason });
   }
 
+  #noteOrigin(notice: OriginNotice): void {
+    const record = unpackOrigin(notice);
+    if (record !== null) this.#origins.note(notice.request, record);
+  }
+
+  #findOrigin({ request }: OriginQuery): OriginAnswer {
+    const origin = packOrigin(this.#origins.find(request));
+    return { type: "origin-answer", request, ...origin };
+  }
+
   #logLimit(router: string): void {
     const { requestsPerS, asks } = this.#controller.load;
     this.#events.info("server-limit", { requestsPerS, router, asks });
--- a/src/admission/router_session.ts
+++ b/src/admission/router_session.ts
@@ -3,6 +3,9 @@
 import type {
   CrashReport,
   Message,
+  OriginAnswer,
+  OriginNotice,
+  OriginQuery,
   RequestLimitNotice,
   ServerReport,
   SoundReport,
@@ -18,6 +21,8 @@
   onLimitChange(): void;
   /** A server without an admission controller has named a limit. */
   onOtherLimit(notice: RequestLimitNotice): void;
+  onOrigin(notice: OriginNotice): void;
+  findOrigin(query: OriginQuery): OriginAnswer;
 }
 
 /** Passes a router's messages to the admission controller, and its replies. */
@@ -84,6 +89,12 @@
         else if (this.#controller.noteRequestLimit(message))
           this.#listener.onLimitChange();
         return;
+      case "stream-origin":
+        this.#listener.onOrigin(message);
+        return;
+      case "origin-query":
+        this.#connection.send(this.#listener.findOrigin(message));
+        return;
       case "crash-report":
       case "sound-report":
         this.#listener.onReport(message);
--- a/src/direct/admission_client.ts
+++ b/src/direct/admission_client.ts
@@ -8,6 +8,9 @@
   CrashReport,
   EngineConfiguration,
   Message,
+  OriginAnswer,
+  OriginNotice,
+  OriginQuery,
   PackedPart,
   Permit as PermitMessage,
   PermitOutcome,
@@ -48,6 +51,10 @@
   readonly onReport: (report: CrashReport | SoundReport) => void;
   /** Called when another router reports a limit of another server. */
   readonly onRequestLimit: (notice: RequestLimitNotice) => void;
+  /** Called when the controller tells how a stream began. */
+  readonly onOrigin: (answer: OriginAnswer) => void;
+  /** Called on a new and on a lost connection. */
+  readonly onConnection: () => void;
   /** Called on a new report and on a lost connection. */
   readonly onChange: () => void;
 }
@@ -92,6 +99,11 @@
     return this.#connection !== null && this.#report !== null;
   }
 
+  /** Whether messages can be sent, though no report may have come. */
+  get isOpen(): boolean {
+    return this.#connection !== null;
+  }
+
   get report(): EngineReport | null {
     return this.#report;
   }
@@ -117,6 +129,11 @@
     this.#connection?.send(report);
   }
 
+  /** Tells or asks the controller how a stream began. */
+  sendOrigin(message: OriginNotice | OriginQuery): void {
+    this.#connection?.send(message);
+  }
+
   usageOf(team: string): number {
     return this.#recentUsage.of(team);
   }
@@ -181,6 +198,7 @@
     for (const report of this.#deps.crashReports()) connection.send(report);
     // "Gate" in log events means the admission controller.
     this.#deps.events.info("gate-connected", { gate });
+    this.#deps.onConnection();
     for await (const message of connection.messages) {
       this.#handleMessage(message, connection);
     }
@@ -192,6 +210,7 @@
     const waiting = [...this.#pendingAsks.values()];
     this.#pendingAsks.clear();
     for (const { callbacks } of waiting) callbacks.disconnected();
+    this.#deps.onConnection();
     this.#deps.onChange();
   }
 
@@ -214,6 +233,9 @@
       case "request-limit":
         this.#deps.onRequestLimit(message);
         return;
+      case "origin-answer":
+        this.#deps.onOrigin(message);
+        return;
       case "heartbeat":
         return;
       default:
--- a/src/direct/admission_clients.ts
+++ b/src/direct/admission_clients.ts
@@ -6,6 +6,7 @@
 import type {
   CrashReport,
   EngineConfiguration,
+  OriginAnswer,
   RequestLimitNotice,
   SoundReport,
 } from "../protocol/mod.ts";
@@ -14,6 +15,7 @@
 import { type Identity, Traffic } from "../transport/mod.ts";
 import { AdmissionClient } from "./admission_client.ts";
 import type { DirectRouterSettings } from "./settings.ts";
+import type { OriginKeeper } from "./stream_origins.ts";
 
 /** Dependencies of `AdmissionClients`. */
 export interface AdmissionClientsDependencies {
@@ -36,6 +38,10 @@
   onReport(report: CrashReport | SoundReport): void;
   /** Called when another router reports a limit. */
   onRequestLimit(notice: RequestLimitNotice): void;
+  /** Called when an admission controller tells how a stream began. */
+  onOrigin(answer: OriginAnswer): void;
+  /** Called when the controller of a host is connected or lost. */
+  onConnection(host: string): void;
 }
 
 /** Client and servers of one host; an admission controller serves its host. */
@@ -110,6 +116,15 @@
     for (const { client } of this.#entries.values()) client.sendReport(report);
   }
 
+  /** Controllers that are connected, as keepers of the origins of streams. */
+  get keepers(): OriginKeeper[] {
+    const open = [...this.#entries].filter(([, { client }]) => client.isOpen);
+    return open.map(([id, { client }]) => ({
+      id,
+      send: (message) => client.sendOrigin(message),
+    }));
+  }
+
   /** Tells the other routers of the limit that a server without one names. */
   shareRequestLimit(
     { id, startedAtMs }: BackendServer,
@@ -145,6 +160,8 @@
       crashReports: () => this.#callbacks.crashReports(),
       onReport: (report) => this.#callbacks.onReport(report),
       onRequestLimit: (notice) => this.#callbacks.onRequestLimit(notice),
+      onOrigin: (answer) => this.#callbacks.onOrigin(answer),
+      onConnection: () => this.#callbacks.onConnection(host),
     });
   }
 
--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -4,7 +4,11 @@
 import { systemClock } from "../common/clock.ts";
 import type { EventLog } from "../common/event_log.ts";
 import { sleep } from "../common/promises.ts";
-import { ServerDirectory, startKeyOf } from "../directory/mod.ts";
+import {
+  ServerDirectory,
+  startKeyOf,
+  VersionHistory,
+} from "../directory/mod.ts";
 import { TeamShares, TeamTally } from "../fairness/mod.ts";
 import * as metrics from "../metrics/mod.ts";
 import type { RequestLimitNotice } from "../protocol/mod.ts";
@@ -20,6 +24,7 @@
 import { MonitoringEndpoint } from "./monitoring_endpoint.ts";
 import { RetryBudget, type RetryLimits } from "./retry_budget.ts";
 import { type DirectRouterSettings, parseAddress } from "./settings.ts";
+import { StreamOrigins } from "./stream_origins.ts";
 
 /**
  * Share of the key revocation bound for which API keys are trusted without a
@@ -61,6 +66,8 @@
   readonly #retryBudget: RetryBudget;
   readonly #pool = new ConnectionPool();
   readonly #crashGuard: CrashGuard;
+  readonly #origins: StreamOrigins;
+  readonly #versions: VersionHistory;
   readonly #callerServer: CallerServer;
   readonly #readyEndpoint: MonitoringEndpoint;
   readonly #metricsEndpoint: MonitoringEndpoint;
@@ -83,6 +90,7 @@
       keysMaxAgeMs,
     });
     this.directory = new ServerDirectory(clock);
+    this.#versions = new VersionHistory(clock);
     const identity = createIdentity(settings);
     this.#admissionClients = new AdmissionClients(
       { clock, events, identity, settings },
@@ -94,8 +102,15 @@
         crashReports: () => this.#crashGuard.reports(),
         onReport: (report) => this.#crashGuard.receive(report),
         onRequestLimit: (notice) => this.#handleRequestLimit(notice),
+        onOrigin: (answer) => this.#origins.receive(answer),
+        onConnection: (host) => this.#origins.handleKeeperChange(host),
       },
     );
+    this.#origins = new StreamOrigins({
+      ...{ clock, events, directory: this.directory },
+      versions: this.#versions,
+      keepers: () => this.#admissionClients.keepers,
+    });
     this.#crashGuard = new CrashGuard({
       ...{ clock, events, pool: this.#pool },
       send: (report) => this.#admissionClients.sendReport(report),
@@ -113,6 +128,7 @@
       pool: this.#pool,
       retryBudget: this.#retryBudget,
       crashGuard: this.#crashGuard,
+      origins: this.#origins,
       metrics: this.#metrics,
       teamTally: this.#teamTally,
       teamShares: new TeamShares(clock),
@@ -236,6 +252,7 @@
       const server = { server: id, service, version, state };
       const fields = { change: change.type, ...server };
       this.#events.info("server", fields);
+      this.#versions.apply(change);
       this.#scheduler.apply(change);
       this.#crashGuard.handleChange(change);
       if (change.type !== "left") return;
--- a/src/direct/exchange.ts
+++ b/src/direct/exchange.ts
@@ -1,8 +1,10 @@
 /** Serves one caller's request, from its headers to the end of its response. */
 
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { err, ok, type Result } from "neverthrow";
 import type { TeamShares, TeamTally } from "../fairness/mod.ts";
 import type { MetricsRegistry } from "../metrics/registry.ts";
+import type { StreamOrigin } from "../origins/mod.ts";
 import {
   deadlinePassed,
   type Failure,
@@ -34,6 +36,11 @@
 
 /** Retry-After of a quarantined request; servers may be fixed by then. */
 const QUARANTINE_RETRY_AFTER_MS = 60_000;
+/**
+ * Longest time from the beginning of a stream until its caller comes back for
+ * the rest, in time limits of its route: callers have a limit of their own.
+ */
+const STREAM_LIFETIME_TIMEOUTS = 2;
 /** Failed connection attempts after which a request is given up. */
 const CONNECT_FAILURE_LIMIT = 8;
 
@@ -132,13 +139,22 @@
       logFields.team = configuration.table?.teamOf(apiKey) ?? null;
   }
 
-  async #serve(admitted: AdmittedRequest): Promise<void> {
+  async #serve(requested: AdmittedRequest): Promise<void> {
     const { retryBudget, teamShares } = this.#deps;
+    const found = await this.#findOrigin(requested);
+    if (found.isErr()) {
+      this.#fail(found.error);
+      return;
+    }
+    const origin = found.value;
+    // Only the service that began a stream can go on with it.
+    const service = origin?.service ?? requested.service;
+    const admitted = { ...requested, service };
     retryBudget.recordRequest(admitted.service);
     if (admitted.team !== null) {
       teamShares.add(admitted.team, costOf(admitted.terms));
     }
-    const sender = this.#createSender(admitted);
+    const sender = this.#createSender(admitted, origin);
     if (this.#refuseIfQuarantined(sender)) return;
     this.#checkDeadline(admitted);
     const cancel = () => this.#cancel.abort();
@@ -154,9 +170,41 @@
     }
   }
 
-  #createSender(admitted: AdmittedRequest): RequestSender {
+  /**
+   * Finds where the stream began that the request takes up, or why it can't go
+   * on; null for a request that takes up none.
+   */
+  async #findOrigin(
+    admitted: AdmittedRequest,
+  ): Promise<Result<StreamOrigin | null, Failure>> {
+    if (!isTakeUp(admitted)) return ok(null);
+    const { route, terms, service } = admitted;
+    const { origins } = this.#deps;
+    const lifetimeMs = route.timeoutMs * STREAM_LIFETIME_TIMEOUTS;
+    const origin =
+      terms.resumes === null
+        ? origins.soleOrigin(service, lifetimeMs)
+        : await origins.find(terms.resumes);
+    if (origin === null) {
+      const sentence = "It isn't known which version began the stream";
+      const retryAfterMs = SHORT_RETRY_AFTER_MS;
+      return err(notRun(503, "unknown-origin", { sentence, retryAfterMs }));
+    }
+    const isServed = route.destinations.some(
+      ({ service }) => service === origin.service,
+    );
+    if (isServed) return ok(origin);
+    const sentence = "The service that began the stream is no longer in use";
+    const retryAfterMs = SHORT_RETRY_AFTER_MS;
+    return err(notRun(503, "origin-gone", { sentence, retryAfterMs }));
+  }
+
+  #createSender(
+    admitted: AdmittedRequest,
+    origin: StreamOrigin | null,
+  ): RequestSender {
     return new RequestSender(this.#deps, {
-      ...{ admitted, request: this.#request, response: this.#response },
+      ...{ admitted, origin, request: this.#request, response: this.#response },
       ...{ record: this.#record, cancelSignal: this.#cancel.signal },
     });
   }
@@ -181,7 +229,7 @@
   async #attempt(sender: RequestSender): Promise<Step> {
     const { scheduler } = this.#deps;
     const { signal } = this.#cancel;
-    const decision = await scheduler.place(sender.demand, signal);
+    const decision = await scheduler.place(await sender.demand(), signal);
     if (decision.type !== "placed")
       return this.#handleUnplaced(sender, decision);
     // Its last crash may have been found while it waited.
@@ -323,3 +371,8 @@
     this.#response.fail(failure, this.#deps.dialect);
   }
 }
+
+/** Whether the caller has events of the stream from an earlier request. */
+function isTakeUp({ route, terms }: AdmittedRequest): boolean {
+  return route.repetition === "resumable" && terms.lastEventId !== null;
+}
--- a/src/direct/request_sender.ts
+++ b/src/direct/request_sender.ts
@@ -3,6 +3,8 @@
 import type { IncomingMessage } from "node:http";
 import type { Clock } from "../common/clock.ts";
 import type { EventLog } from "../common/event_log.ts";
+import type { BackendServer } from "../directory/mod.ts";
+import type { StreamOrigin } from "../origins/mod.ts";
 import type {
   Decision,
   Demand,
@@ -23,6 +25,7 @@
 import { ResponseProgress } from "./response_progress.ts";
 import type { RetryBudget, RetryReservation } from "./retry_budget.ts";
 import { type SendEnd, ServerSend } from "./server_send.ts";
+import type { StreamOrigins } from "./stream_origins.ts";
 import { SuspectRequest } from "./suspect_request.ts";
 
 /**
@@ -46,6 +49,7 @@
   readonly pool: ConnectionPool;
   readonly retryBudget: RetryBudget;
   readonly crashGuard: CrashGuard;
+  readonly origins: StreamOrigins;
 }
 
 /** One request and the response to its caller. */
@@ -54,6 +58,8 @@
   readonly request: IncomingMessage;
   readonly response: CallerResponse;
   readonly record: RequestRecord;
+  /** Where the stream began that it takes up; null for any other request. */
+  readonly origin: StreamOrigin | null;
   /** Aborted when the caller disconnects or its deadline passes. */
   readonly cancelSignal: AbortSignal;
 }
@@ -73,6 +79,8 @@
   #retry: RetryReservation | null = null;
   /** The send to another server while one is silent. */
   #hedgeRetry: RetryReservation | null = null;
+  /** Where its stream began; null before the first event. */
+  #origin: StreamOrigin | null;
   #mayHaveRun = false;
 
   constructor(deps: RequestSenderDependencies, options: RequestSenderOptions) {
@@ -80,6 +88,7 @@
     const path = options.request.url ?? "/";
     this.#deps = deps;
     this.#options = options;
+    this.#origin = options.origin;
     this.#progress = route.repetition === "resumable" ? { lastId: null } : null;
     this.suspect = new SuspectRequest(deps.crashGuard, {
       ...{ team, path, body, prompt: terms.prompt },
@@ -102,12 +111,15 @@
     const { admitted, response } = this.#options;
     const isIdempotent = admitted.route.repetition !== "non-idempotent";
     // Only an event stream can go on from another server where it broke off.
-    const canContinue = this.#progress !== null || !response.hasStarted;
+    const canContinue =
+      (this.#progress !== null || !response.hasStarted) &&
+      (this.#origin === null || this.#deps.origins.isCertain(this.#origin));
     return isIdempotent && canContinue && this.maySendAgain;
   }
 
   /** What the scheduler has to know to place it on a server. */
-  get demand(): Demand {
+  async demand(): Promise<Demand> {
+    const version = await this.#requiredVersion();
     const { admitted, record } = this.#options;
     const { route, team, service, terms } = admitted;
     return {
@@ -120,9 +132,26 @@
       objectiveMs: route.objectiveMs,
       deadlineAtMs: admitted.deadlineAtMs,
       excluded: this.#triedServers,
+      version,
     };
   }
 
+  /** Version that it must be sent to; null for any. */
+  async #requiredVersion(): Promise<string | null> {
+    if (this.#begunVersion !== null) return this.#begunVersion;
+    const { record, admitted } = this.#options;
+    const { id } = admitted.terms;
+    if (this.#progress === null || id === null || record.sends === 0)
+      return null;
+    const version = await this.#deps.origins.boundVersion(id);
+    // Its first event may have come meanwhile.
+    return this.#begunVersion ?? version;
+  }
+
+  get #begunVersion(): string | null {
+    return this.#origin?.version ?? null;
+  }
+
   /** Returns false if the retry budget doesn't allow to send it once more. */
   reserveRetry(): boolean {
     const { admitted, cancelSignal } = this.#options;
@@ -174,7 +203,7 @@
       ...[search, cancelSignal],
       AbortSignal.timeout(HEDGE_PLACEMENT_TIMEOUT_MS),
     ]);
-    const decision = await scheduler.place(this.demand, signal);
+    const decision = await scheduler.place(await this.demand(), signal);
     if (decision.type !== "placed") {
       retry.release();
       return decision;
@@ -196,12 +225,16 @@
       ...{ placement, cancelSignal },
       isCancelled: () => response.isDisconnected,
       request: () => {
-        this.#recordSend(placement.server.id, role);
+        this.#recordSend(placement.server, role);
         return this.#backendRequest(placement);
       },
       createRelay: (connection) =>
         new Relay(response, connection, {
           ...listener,
+          onClaim: () => {
+            listener.onClaim();
+            this.#recordBeginning(placement.server);
+          },
           requestId: admitted.terms.id,
           dialect: this.#deps.dialect,
           withholdsFailures: role === "backup" || this.isRepeatable,
@@ -214,10 +247,22 @@
     });
   }
 
-  #recordSend(server: string, role: SendRole): void {
-    this.#options.record.recordSend();
+  #recordSend(server: BackendServer, role: SendRole): void {
+    const { record, admitted } = this.#options;
+    record.recordSend();
     (role === "backup" ? this.#hedgeRetry : this.#retry)?.spend();
-    this.#triedServers.add(server);
+    this.#triedServers.add(server.id);
+    const { id } = admitted.terms;
+    if (this.#progress === null || this.#origin !== null || id === null) return;
+    this.#deps.origins.noteSend(id, originAt(server));
+  }
+
+  /** Binds the stream to the version of the server that begins it. */
+  #recordBeginning(server: BackendServer): void {
+    if (this.#progress === null || this.#origin !== null) return;
+    this.#origin = originAt(server);
+    const { id } = this.#options.admitted.terms;
+    if (id !== null) this.#deps.origins.noteBeginning(id, this.#origin);
   }
 
   #backendRequest({ server, source }: Placement): BackendRequest {
@@ -279,6 +324,8 @@
         return;
       }
       case "complete":
+        this.#deps.origins.noteEnd(this.#options.admitted.terms.id ?? "");
+        return;
       case "not-run":
       case "unsent":
         return;
@@ -303,3 +350,8 @@
     return this.#responses.get(placement) ?? new ResponseProgress(clock);
   }
 }
+
+function originAt(server: BackendServer): StreamOrigin {
+  const { service, version, id, startedAtMs } = server;
+  return { service, version, server: id, startedAtMs };
+}
--- a/src/directory/mod.ts
+++ b/src/directory/mod.ts
@@ -2,3 +2,4 @@
 
 export * from "./backend_server.ts";
 export * from "./server_directory.ts";
+export * from "./version_history.ts";
--- a/src/directory/server_directory.ts
+++ b/src/directory/server_directory.ts
@@ -62,6 +62,16 @@
     this.#listeners.push(listener);
   }
 
+  /** Returns a known server; null if there is none with the id. */
+  get(id: string): BackendServer | null {
+    return this.#servers.get(id) ?? null;
+  }
+
+  /** Whether the registry answers, as far as is known. */
+  get isCurrent(): boolean {
+    return !this.#outage;
+  }
+
   /** Records that the registry doesn't answer. */
   noteOutage(): void {
     this.#outage = true;
--- a/src/protocol/message.ts
+++ b/src/protocol/message.ts
@@ -38,6 +38,11 @@
   KeyUpdateConfirmation,
 } from "./idempotency_messages.ts";
 import type { LedgerUpdate } from "./ledger_messages.ts";
+import type {
+  OriginAnswer,
+  OriginNotice,
+  OriginQuery,
+} from "./origin_messages.ts";
 import type {
   CrashReport,
   SoundReport,
@@ -63,6 +68,7 @@
 export * from "./handshake_messages.ts";
 export * from "./idempotency_messages.ts";
 export * from "./ledger_messages.ts";
+export * from "./origin_messages.ts";
 export * from "./quarantine_messages.ts";
 export * from "./run_messages.ts";
 
@@ -109,4 +115,7 @@
   | PermitRelease
   | RequestLimitNotice
   | Permit
-  | ServerReport;
+  | ServerReport
+  | OriginNotice
+  | OriginQuery
+  | OriginAnswer;
--- a/src/protocol/schema.ts
+++ b/src/protocol/schema.ts
@@ -45,6 +45,14 @@
 const teams = { type: "array", items: tuple(text, amount) };
 const prompt = { team: text, parts, outputTokens: amount };
 
+const origin = {
+  state: { enum: ["known", "ambiguous", "unknown"] },
+  service: text,
+  softwareVersion: text,
+  server: text,
+  startedAtMs: amount,
+};
+
 const fieldsByType: Record<Message["type"], Record<string, object>> = {
   hello: {
     protocolVersion: count,
@@ -154,6 +162,9 @@
     requestsPerS: optionalAmount,
     ageMs: amount,
   },
+  "stream-origin": { request: text, ...origin },
+  "origin-query": { request: text },
+  "origin-answer": { request: text, ...origin },
   permit: { ask: count, uncachedTokens: amount },
   "server-report": {
     runs: count,
--- a/src/scheduling/demand.ts
+++ b/src/scheduling/demand.ts
@@ -33,6 +33,11 @@
   readonly deadlineAtMs: number;
   /** Ids of servers that it must not be sent to again. */
   readonly excluded: ReadonlySet<string>;
+  /**
+   * Software version that began the stream and that it can go on at; null for
+   * any.
+   */
+  readonly version: string | null;
 }
 
 /** A generated token costs an engine as much as two prompt tokens. */
--- a/src/scheduling/mod.ts
+++ b/src/scheduling/mod.ts
@@ -11,6 +11,7 @@
 export { PredictedCache } from "./predicted_cache.ts";
 export { PrefillRate, SMALLEST_SAMPLE_TOKENS } from "./prefill_rate.ts";
 export { SHORT_RETRY_AFTER_MS } from "./refusal.ts";
+export { rankOnce } from "./rendezvous.ts";
 export { type LimitObservation, RequestLimit } from "./request_limit.ts";
 export {
   type RequestInFlight,
--- a/src/scheduling/placement.ts
+++ b/src/scheduling/placement.ts
@@ -82,6 +82,7 @@
     (load) =>
       load.server.state === "ready" &&
       !demand.excluded.has(load.id) &&
+      isVersionAllowed(load, demand) &&
       load.health.isUsable(context.nowMs),
   );
   if (demand.prompt === null) {
@@ -98,6 +99,14 @@
   );
 }
 
+/** Whether a stream may go on at the server, or hasn't begun. */
+export function isVersionAllowed(
+  { server }: ServerLoad,
+  { version }: Pick<Demand, "version">,
+): boolean {
+  return version === null || server.version === version;
+}
+
 function isWithinLimit(
   load: ServerLoad,
   { objectiveMs }: Demand,
--- a/src/scheduling/refusal.ts
+++ b/src/scheduling/refusal.ts
@@ -58,7 +58,7 @@
   if (leftMs <= 0) return { maxWaitMs: 0, reason: "too-late", retryAfterMs };
   const maxWaitMs = Math.min(demand.objectiveMs * MAX_WAIT_SHARE, leftMs / 2);
   if (servers === 0) {
-    const delayMs = withJitter(NO_SERVER_RETRY_AFTER_MS);
+    const delayMs = noServerDelayMs();
     return { maxWaitMs: 0, reason: "no-server", retryAfterMs: delayMs };
   }
   if (limitDelayMs > maxWaitMs)
@@ -66,6 +66,11 @@
   return { maxWaitMs, reason: "no-room", retryAfterMs };
 }
 
+/** Delay in milliseconds after which a service may have a server. */
+export function noServerDelayMs(): number {
+  return withJitter(NO_SERVER_RETRY_AFTER_MS);
+}
+
 /**
  * Returns the latest time at which a request may be placed if connections are
  * closed at `closeAtMs`: a server may take the rest of the objective.
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -17,6 +17,7 @@
 import {
   type Choice,
   chooseServer,
+  isVersionAllowed,
   type PlacementContext,
 } from "./placement.ts";
 import { PrefillRate } from "./prefill_rate.ts";
@@ -187,7 +188,7 @@
       demand,
       {
         nowMs,
-        servers: this.#countReady(demand.service),
+        servers: this.#countReady(demand),
         limitDelayMs: this.#limitDelayMs(demand),
       },
     );
@@ -418,6 +419,8 @@
       const lastAtMs = refusal.lastPlacementAtMs(demand, this.#closeAtMs);
       if (nowMs >= refuseAtMs) this.#refuse(pending);
       else if (nowMs >= lastAtMs) this.#refuseAsStopping(pending);
+      else if (demand.version !== null && this.#countReady(demand) === 0)
+        this.#refuseAsGone(pending);
       else this.#tryOtherEngine(pending, nowMs);
     }
     // The backoff of a server may have ended.
@@ -441,6 +444,15 @@
     });
   }
 
+  /** Refuses a stream once no server of its version is left. */
+  #refuseAsGone(pending: Request): void {
+    this.#settle(pending, {
+      ...{ type: "refused", reason: "no-server" },
+      retryAfterMs: refusal.noServerDelayMs(),
+      awaitedServer: awaitedServerOf(pending),
+    });
+  }
+
   #refuseAsStopping(pending: Request): void {
     this.#settle(pending, refusedAsStopping(awaitedServerOf(pending)));
   }
@@ -482,9 +494,15 @@
     );
   }
 
-  #countReady(service: string): number {
-    return this.#loadsOf(service).filter(
+  /** Servers that the request may be sent to. */
+  #countReady(demand: Demand): number {
+    const loads = this.#loadsOf(demand.service).filter(
       ({ server }) => server.state === "ready",
+    );
+    if (demand.version === null) return loads.length;
+    // Another version may not go on with the stream, now or later.
+    return loads.filter(
+      (load) => isVersionAllowed(load, demand) && !demand.excluded.has(load.id),
     ).length;
   }
 
@@ -492,7 +510,10 @@
   #limitDelayMs(demand: Demand): number {
     const { service, excluded } = demand;
     const loads = this.#loadsOf(service).filter(
-      ({ server }) => server.state === "ready" && !excluded.has(server.id),
+      (load) =>
+        load.server.state === "ready" &&
+        !excluded.has(load.id) &&
+        isVersionAllowed(load, demand),
     );
     const isLimited = loads.every(
       (load) => load.limitedCapacity(this.#routerShare) !== null,
--- a/tests/direct/admission_clients_test.ts
+++ b/tests/direct/admission_clients_test.ts
@@ -46,6 +46,8 @@
       crashReports: () => [],
       onReport: () => {},
       onRequestLimit: () => {},
+      onOrigin: () => {},
+      onConnection: () => {},
     },
   );
   const close = async () => {
--- /dev/null
+++ b/tests/direct/stream_origins_test.ts
@@ -0,0 +1,162 @@
+/** Where streams began: what admission controllers are told, and answer. */
+
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+  type OriginKeeper,
+  StreamOrigins,
+} from "../../src/direct/stream_origins.ts";
+import { ServerDirectory, VersionHistory } from "../../src/directory/mod.ts";
+import {
+  ORIGIN_LIFETIME_MS,
+  OriginMemory,
+  packOrigin,
+  unpackOrigin,
+} from "../../src/origins/mod.ts";
+import type { OriginAnswer } from "../../src/protocol/mod.ts";
+import {
+  createManualClock,
+  type ManualClock,
+} from "../support/manual_clock.ts";
+import { createServer } from "../support/servers.ts";
+import { events } from "./fixture.ts";
+
+/** An admission controller that routers can lose and reach again. */
+interface Keeper {
+  readonly id: string;
+  memory: OriginMemory;
+  /** Messages to it are lost, and its answers. */
+  isCut: boolean;
+}
+
+function createKeepers(clock: ManualClock, count = 3): Keeper[] {
+  return Array.from({ length: count }, (_, index) => ({
+    id: `10.0.1.${index}`,
+    memory: new OriginMemory(clock),
+    isCut: false,
+  }));
+}
+
+function createRouter(clock: ManualClock, keepers: readonly Keeper[]) {
+  const directory = new ServerDirectory(clock);
+  directory.put(createServer({ id: "s1", version: "v1" }));
+  directory.put(createServer({ id: "s2", version: "v2" }));
+  const connect = ({ id, ...keeper }: Keeper, index: number): OriginKeeper => ({
+    id,
+    send: (message) => {
+      const current = keepers[index] ?? { id, ...keeper };
+      if (current.isCut) return;
+      const { request } = message;
+      if (message.type === "stream-origin") {
+        const record = unpackOrigin(message);
+        if (record !== null) current.memory.note(request, record);
+        return;
+      }
+      const packed = packOrigin(current.memory.find(request));
+      const answer: OriginAnswer = {
+        type: "origin-answer",
+        request,
+        ...packed,
+      };
+      setImmediate(() => origins.receive(answer));
+    },
+  });
+  const versions = new VersionHistory(clock);
+  const origins: StreamOrigins = new StreamOrigins({
+    ...{ clock, events, directory, versions },
+    keepers: () => keepers.map(connect),
+  });
+  return { origins, directory };
+}
+
+function originAt(server: "s1" | "s2") {
+  const version = server === "s1" ? "v1" : "v2";
+  return { service: "desk", version, server, startedAtMs: 0 };
+}
+
+test("another router finds where a stream began", async () => {
+  const clock = createManualClock();
+  const keepers = createKeepers(clock);
+  createRouter(clock, keepers).origins.noteSend("a", originAt("s1"));
+  const { origins } = createRouter(clock, keepers);
+  assert.equal((await origins.find("a"))?.version, "v1");
+  assert.equal(await origins.find("b"), null);
+});
+
+test("a beginning is known after the loss of any one controller", async () => {
+  for (const lost of [0, 1, 2]) {
+    const clock = createManualClock();
+    const keepers = createKeepers(clock);
+    createRouter(clock, keepers).origins.noteSend("a", originAt("s1"));
+    const left = keepers.filter((_, index) => index !== lost);
+    const { origins } = createRouter(clock, left);
+    assert.equal((await origins.find("a"))?.version, "v1");
+  }
+});
+
+test("controllers that restart one after the other are told again", async () => {
+  const clock = createManualClock();
+  const keepers = createKeepers(clock);
+  const first = createRouter(clock, keepers).origins;
+  first.noteSend("a", originAt("s1"));
+  for (const keeper of keepers) {
+    keeper.memory = new OriginMemory(clock);
+    first.handleKeeperChange(keeper.id);
+  }
+  const { origins } = createRouter(clock, keepers);
+  assert.equal((await origins.find("a"))?.version, "v1");
+});
+
+test("a request without an event may go to another version once all know", async () => {
+  const clock = createManualClock();
+  const keepers = createKeepers(clock);
+  const first = createRouter(clock, keepers).origins;
+  first.noteSend("a", originAt("s1"));
+  assert.equal(await first.boundVersion("a"), null);
+  const { origins } = createRouter(clock, keepers);
+  assert.equal(await origins.find("a"), null);
+  first.noteSend("a", originAt("s2"));
+  first.noteBeginning("a", originAt("s2"));
+  assert.equal((await origins.find("a"))?.version, "v2");
+});
+
+test("a request keeps its version while a controller may tell the first", async () => {
+  const clock = createManualClock();
+  const keepers = createKeepers(clock);
+  const first = createRouter(clock, keepers).origins;
+  first.noteSend("a", originAt("s1"));
+  for (const keeper of keepers) keeper.isCut = true;
+  assert.equal(await first.boundVersion("a"), "v1");
+  for (const keeper of keepers) keeper.isCut = false;
+  const { origins } = createRouter(clock, keepers);
+  assert.equal((await origins.find("a"))?.version, "v1");
+});
+
+test("a beginning at a server that has other software now isn't certain", async () => {
+  const clock = createManualClock();
+  const { origins, directory } = createRouter(clock, []);
+  origins.noteSend("a", originAt("s1"));
+  assert.equal((await origins.find("a"))?.version, "v1");
+  directory.put(createServer({ id: "s1", version: "v2" }));
+  assert.equal(await origins.find("a"), null);
+});
+
+test("beginnings are forgotten after a time", () => {
+  const clock = createManualClock();
+  const memory = new OriginMemory(clock);
+  memory.note("a", { type: "ambiguous" });
+  clock.advance(ORIGIN_LIFETIME_MS);
+  assert.notEqual(memory.find("a"), null);
+  clock.advance(1);
+  assert.equal(memory.find("a"), null);
+  assert.equal(memory.size, 0);
+});
+
+test("the number of remembered beginnings is bounded", () => {
+  const memory = new OriginMemory(createManualClock());
+  for (let count = 0; count < 60_000; count += 1)
+    memory.note(`request-${count}`, { type: "ambiguous" });
+  assert.equal(memory.size, 50_000);
+  assert.equal(memory.find("request-0"), null);
+  assert.notEqual(memory.find("request-59999"), null);
+});
--- a/tests/direct/stream_version_test.ts
+++ b/tests/direct/stream_version_test.ts
@@ -25,6 +25,8 @@
 /** Far below the time that a request may wait for a server. */
 const AT_ONCE_MS = 300;
 const STREAMS = 12;
+/** More than a delayed acknowledgement, without which the event isn't sent. */
+const BREAK_AFTER_MS = 100;
 /** Time in which routers are connected to an admission process on loopback. */
 const CONNECT_MS = 1_000;
 
@@ -55,7 +57,7 @@
     writeChunk(received, `id: ${id + 1}\ndata: ${version}\n\n`);
     endStream(received);
   } else if (beginning === "break") {
-    setTimeout(() => received.socket.resetAndDestroy(), 20);
+    setTimeout(() => received.socket.resetAndDestroy(), BREAK_AFTER_MS);
   }
 }
 
@@ -125,7 +127,7 @@
   lastId += 1;
   const id = `id-${lastId}`;
   const sentAtMs = performance.now();
-  const url = `http://127.0.0.1:${router?.port}/lookup/1`;
+  const url = `http://127.0.0.1:${router?.port}/lookup/${lastId}`;
   const response = await request(url, {
     headers: {
       ...{ host: "desk.example", "x-attempt-id": id, "x-deadline-ms": "4000" },
