Request permits for requests that don't tell their prompt

Callers of an engine's service that sent no token counts were always refused as no-room while an admission controller was connected.

Cause: a request without a prompt left the queue without a permit being requested, and nobody looked at it again. Change: the permit is requested for an empty prompt, so that such requests count for limits like all others.

Measured: the new test of tests/direct/server_limit_test.ts got 503 before, passes now.

--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -8,7 +8,7 @@
 } from "../directory/mod.ts";
 import * as fairness from "../fairness/mod.ts";
 import type { Engine, RouteTable } from "../routing/mod.ts";
-import type { Demand } from "./demand.ts";
+import type { Demand, Prompt } from "./demand.ts";
 import type { EngineAdmission, Permit } from "./engine_admission.ts";
 import { FairQueue } from "./fair_queue.ts";
 import { limitDelayMs } from "./limit_delay.ts";
@@ -95,6 +95,11 @@
  */
 const OTHER_ENGINE_AFTER_SHARE = 0.2;
 
+/** Stands for the prompt of a request that doesn't tell it. */
+const NO_PROMPT: Prompt = {
+  ...{ model: "", parts: [], inputTokens: 0, outputTokens: 0 },
+};
+
 /** Decides for each request which server it is sent to, and when. */
 export class Scheduler {
   readonly #options: SchedulerOptions;
@@ -291,10 +296,10 @@
   ): void {
     const { load } = choice;
     const { demand } = pending;
-    if (demand.prompt === null) return;
+    const prompt = demand.prompt ?? NO_PROMPT;
     const nowMs = this.#nowMs;
     const parameters = {
-      ...{ demand, prompt: demand.prompt, copiedTokens: choice.copiedTokens },
+      ...{ demand, prompt, copiedTokens: choice.copiedTokens },
       elsewhere: this.#usageElsewhere(demand, load),
       leftMs: demand.objectiveAtMs - nowMs,
     };
--- a/tests/direct/server_limit_test.ts
+++ b/tests/direct/server_limit_test.ts
@@ -107,7 +107,10 @@
 
 let lastId = 0;
 
-async function call(port: number): Promise<CallResult> {
+async function call(
+  port: number,
+  headers: Record<string, string> = {},
+): Promise<CallResult> {
   lastId += 1;
   const sentAtMs = performance.now();
   const response = await request(`http://127.0.0.1:${port}/lookup/1`, {
@@ -118,6 +121,7 @@
       "x-model": "m",
       "x-token-count": "20,5",
       "x-prefix-hash": `own${lastId}:20`,
+      ...headers,
     },
   });
   await response.body.text();
@@ -130,11 +134,14 @@
 }
 
 /** Calls all routers at a steady rate; returns what each caller got. */
-async function callFor(ms: number): Promise<CallResult[]> {
+async function callFor(
+  ms: number,
+  headers: Record<string, string> = {},
+): Promise<CallResult[]> {
   const results: Promise<CallResult>[] = [];
   const endMs = performance.now() + ms;
   while (performance.now() < endMs) {
-    for (const { port } of routers) results.push(call(port));
+    for (const { port } of routers) results.push(call(port, headers));
     await delay(1_000 / CALLS_PER_ROUTER_PER_S);
   }
   return Promise.all(results);
@@ -213,6 +220,20 @@
   assert.ok(limited.arrivedAtMs.length <= 5, `${limited.arrivedAtMs.length}`);
 });
 
+test("requests that don't tell their prompt are counted, too", async () => {
+  const limited = await startServer(null);
+  const [gatePort = 0] = await freePorts(1);
+  await startAdmission(gatePort);
+  await startRouters(gatePort);
+  await delay(CONNECT_MS);
+  const headers = { "x-token-count": "" };
+  const calls = routers.map(({ port }) => call(port, headers));
+  for (const { status } of await Promise.all(calls)) assert.equal(status, 200);
+  limited.limit = String(LIMIT_PER_S);
+  await callFor(SETTLING_MS + WINDOW_MS + 1_000, headers);
+  assertWithinLimit(limited);
+});
+
 test("callers are refused early while every server is at its limit", async () => {
   await startServer(String(LIMIT_PER_S));
   const [gatePort = 0] = await freePorts(1);
