Keep a limit that others were told when its controller is lost

Cause: it knew the limit from reports only, which end with the connection. Change: a limit in a report counts as named to the router; the notice to a restarted controller is kept likewise.

--- a/src/direct/admission_client.ts
+++ b/src/direct/admission_client.ts
@@ -49,7 +49,7 @@
   readonly crashReports: () => readonly CrashReport[];
   /** Called when another router reports a crash or a sound response. */
   readonly onReport: (report: CrashReport | SoundReport) => void;
-  /** Called when another router reports a limit of another server. */
+  /** Called when another router has reported a server's limit. */
   readonly onRequestLimit: (notice: RequestLimitNotice) => void;
   /** Called when the controller tells how a stream began. */
   readonly onOrigin: (answer: OriginAnswer) => void;
@@ -83,7 +83,7 @@
   #connection: Connection | null = null;
   /** The latest report, plus what was requested here since. */
   #report: ServerReport | null = null;
-  /** The last limit that was reported here; null once a response has none. */
+  /** The limit that a restarted controller is told; null for none. */
   #limitNotice: RequestLimitNotice | null = null;
   #lastAskId = 0;
 
@@ -220,11 +220,7 @@
         this.#handlePermit(message);
         return;
       case "server-report":
-        this.#report = message;
-        for (const [team, usage] of message.teams) {
-          this.#recentUsage.set(team, usage);
-        }
-        this.#deps.onChange();
+        this.#handleReport(message);
         return;
       case "crash-report":
       case "sound-report":
@@ -243,6 +239,28 @@
     }
   }
 
+  #handleReport(report: ServerReport): void {
+    const { requestsPerS, teams } = report;
+    const before = this.#report?.requestsPerS ?? null;
+    this.#report = report;
+    for (const [team, usage] of teams) this.#recentUsage.set(team, usage);
+    if (requestsPerS !== before) this.#adoptLimit(requestsPerS);
+    this.#deps.onChange();
+  }
+
+  /** Keeps a limit for the time after the loss of the controller. */
+  #adoptLimit(requestsPerS: number | null): void {
+    const engine = this.#deps.engineConfiguration();
+    if (engine === null) return;
+    const { server, startedAtMs } = engine;
+    const notice: RequestLimitNotice = {
+      ...{ type: "request-limit", server, startedAtMs },
+      ...{ requestsPerS, ageMs: 0 },
+    };
+    this.#limitNotice = requestsPerS === null ? null : notice;
+    this.#deps.onRequestLimit(notice);
+  }
+
   #handlePermit({ ask, uncachedTokens }: PermitMessage): void {
     const pending = this.#pendingAsks.get(ask);
     if (pending === undefined) {
--- a/tests/direct/server_limit_test.ts
+++ b/tests/direct/server_limit_test.ts
@@ -147,6 +147,15 @@
   return Promise.all(results);
 }
 
+/** Calls each router a number of times at once. */
+async function callAll(
+  called: readonly RouterFixture[],
+  times: number,
+): Promise<void> {
+  const ports = called.flatMap(({ port }) => Array(times).fill(port));
+  await Promise.all(ports.map((port) => call(port)));
+}
+
 /** Largest number of requests in any window once the limit holds. */
 function mostInWindow({ arrivedAtMs }: LimitedServer): number {
   const [first = 0] = arrivedAtMs;
@@ -213,10 +222,24 @@
   await delay(CONNECT_MS);
   assert.equal((await call(first.port)).status, 200);
   await letOtherTasksRun();
-  const calls = others.flatMap(({ port }) =>
-    Array.from({ length: 20 }, () => call(port)),
-  );
-  await Promise.all(calls);
+  await callAll(others, 20);
+  assert.ok(limited.arrivedAtMs.length <= 5, `${limited.arrivedAtMs.length}`);
+});
+
+test("a limit that others were told holds when the controller is lost", async () => {
+  const limited = await startServer("0");
+  const [gatePort = 0] = await freePorts(1);
+  await startAdmission(gatePort);
+  await startRouters(gatePort);
+  await delay(CONNECT_MS);
+  const [first, ...others] = routers;
+  assert.ok(first);
+  assert.equal((await call(first.port)).status, 200);
+  await delay(CONNECT_MS);
+  await admission?.close();
+  admission = null;
+  await letOtherTasksRun();
+  await callAll(others, 20);
   assert.ok(limited.arrivedAtMs.length <= 5, `${limited.arrivedAtMs.length}`);
 });
 
