Split the look-up of streams' origins, and ask only when versions differ

Cause: reading the diff; a retry before the first event asked admission controllers also where all servers have one version, and an empty Last-Event-Id counted as a take-up. Change: queries and take-ups in files of their own; both cases mended.

--- a/src/direct/admission_clients.ts
+++ b/src/direct/admission_clients.ts
@@ -14,8 +14,8 @@
 import type { EngineAdmission, LimitObservation } from "../scheduling/mod.ts";
 import { type Identity, Traffic } from "../transport/mod.ts";
 import { AdmissionClient } from "./admission_client.ts";
+import type { OriginKeeper } from "./origin_queries.ts";
 import type { DirectRouterSettings } from "./settings.ts";
-import type { OriginKeeper } from "./stream_origins.ts";
 
 /** Dependencies of `AdmissionClients`. */
 export interface AdmissionClientsDependencies {
--- a/src/direct/exchange.ts
+++ b/src/direct/exchange.ts
@@ -1,7 +1,6 @@
 /** Serves one caller's request, from its headers to the end of its response. */
 
 import type { IncomingMessage, ServerResponse } from "node:http";
-import { err, ok, type Result } from "neverthrow";
 import type { TeamShares, TeamTally } from "../fairness/mod.ts";
 import type { MetricsRegistry } from "../metrics/registry.ts";
 import type { StreamOrigin } from "../origins/mod.ts";
@@ -33,14 +32,10 @@
   type RequestSenderDependencies,
 } from "./request_sender.ts";
 import type { SendEnd } from "./server_send.ts";
+import { findOrigin } from "./take_up.ts";
 
 /** Retry-After of a quarantined request; servers may be fixed by then. */
 const QUARANTINE_RETRY_AFTER_MS = 60_000;
-/**
- * Longest time from the beginning of a stream until its caller comes back for
- * the rest, in time limits of its route: callers have a limit of their own.
- */
-const STREAM_LIFETIME_TIMEOUTS = 2;
 /** Failed connection attempts after which a request is given up. */
 const CONNECT_FAILURE_LIMIT = 8;
 
@@ -141,7 +136,7 @@
 
   async #serve(requested: AdmittedRequest): Promise<void> {
     const { retryBudget, teamShares } = this.#deps;
-    const found = await this.#findOrigin(requested);
+    const found = await findOrigin(this.#deps.origins, requested);
     if (found.isErr()) {
       this.#fail(found.error);
       return;
@@ -170,35 +165,6 @@
     }
   }
 
-  /**
-   * Finds where the stream began that the request takes up, or why it can't go
-   * on; null for a request that takes up none.
-   */
-  async #findOrigin(
-    admitted: AdmittedRequest,
-  ): Promise<Result<StreamOrigin | null, Failure>> {
-    if (!isTakeUp(admitted)) return ok(null);
-    const { route, terms, service } = admitted;
-    const { origins } = this.#deps;
-    const lifetimeMs = route.timeoutMs * STREAM_LIFETIME_TIMEOUTS;
-    const origin =
-      terms.resumes === null
-        ? origins.soleOrigin(service, lifetimeMs)
-        : await origins.find(terms.resumes);
-    if (origin === null) {
-      const sentence = "It isn't known which version began the stream";
-      const retryAfterMs = SHORT_RETRY_AFTER_MS;
-      return err(notRun(503, "unknown-origin", { sentence, retryAfterMs }));
-    }
-    const isServed = route.destinations.some(
-      ({ service }) => service === origin.service,
-    );
-    if (isServed) return ok(origin);
-    const sentence = "The service that began the stream is no longer in use";
-    const retryAfterMs = SHORT_RETRY_AFTER_MS;
-    return err(notRun(503, "origin-gone", { sentence, retryAfterMs }));
-  }
-
   #createSender(
     admitted: AdmittedRequest,
     origin: StreamOrigin | null,
@@ -371,8 +337,3 @@
     this.#response.fail(failure, this.#deps.dialect);
   }
 }
-
-/** Whether the caller has events of the stream from an earlier request. */
-function isTakeUp({ route, terms }: AdmittedRequest): boolean {
-  return route.repetition === "resumable" && terms.lastEventId !== null;
-}
--- a/src/direct/request_sender.ts
+++ b/src/direct/request_sender.ts
@@ -199,11 +199,12 @@
     const { retryBudget, scheduler } = this.#deps;
     const retry = retryBudget.reserveRetry(admitted.service);
     if (retry === null) return { type: "left" };
+    const demand = await this.demand();
     const signal = AbortSignal.any([
       ...[search, cancelSignal],
       AbortSignal.timeout(HEDGE_PLACEMENT_TIMEOUT_MS),
     ]);
-    const decision = await scheduler.place(await this.demand(), signal);
+    const decision = await scheduler.place(demand, signal);
     if (decision.type !== "placed") {
       retry.release();
       return decision;
--- a/src/direct/stream_origins.ts
+++ b/src/direct/stream_origins.ts
@@ -16,14 +16,14 @@
   type OriginRecord,
   packOrigin,
   type StreamOrigin,
-  unpackOrigin,
 } from "../origins/mod.ts";
-import type {
-  OriginAnswer,
-  OriginNotice,
-  OriginQuery,
-} from "../protocol/mod.ts";
+import type { OriginAnswer } from "../protocol/mod.ts";
 import { rankOnce } from "../scheduling/mod.ts";
+import {
+  agreedRecord,
+  type OriginKeeper,
+  OriginQueries,
+} from "./origin_queries.ts";
 
 /** Admission controllers that are told of a stream: one may be lost. */
 const COPIES = 2;
@@ -32,21 +32,9 @@
  * rank them differently.
  */
 const QUERIED = 4;
-/**
- * Time within which admission controllers answer: many round trips between
- * zones. The caller waits for it while one of them is gone unnoticed.
- */
-const ANSWER_TIMEOUT_MS = 200;
 /** Streams that are told again when an admission controller is lost. */
 const TOLD_CAPACITY = 10_000;
 
-/** A connected admission controller. */
-export interface OriginKeeper {
-  /** Its host. */
-  readonly id: string;
-  send(message: OriginNotice | OriginQuery): void;
-}
-
 /** Dependencies of `StreamOrigins`. */
 export interface StreamOriginsDependencies {
   readonly clock: Clock;
@@ -68,19 +56,13 @@
   readonly informed: Set<string>;
 }
 
-/** A question that admission controllers have not all answered. */
-interface PendingQuery {
-  readonly answers: Promise<readonly (OriginRecord | null)[]>;
-  readonly receive: (record: OriginRecord | null) => void;
-}
-
 /** The origins of streams, here and at admission controllers. */
 export class StreamOrigins {
   readonly #deps: StreamOriginsDependencies;
   readonly #memory: OriginMemory;
   /** By request, the oldest first. */
   readonly #told = new Map<string, ToldOrigin>();
-  readonly #queries = new Map<string, PendingQuery>();
+  readonly #queries = new OriginQueries();
 
   constructor(deps: StreamOriginsDependencies) {
     this.#deps = deps;
@@ -147,11 +129,14 @@
   async boundVersion(request: string): Promise<string | null> {
     const record = this.#memory.find(request);
     if (record?.type !== "known") return null;
-    const { server, version } = record.origin;
-    const informed = this.#told.get(request)?.informed ?? new Set();
+    const { server, service, version } = record.origin;
+    if (this.#deps.versions.soleVersion(service, 0) === version) return version;
+    const told = this.#told.get(request);
+    if (told === undefined) return version;
+    const { informed } = told;
     this.#note(request, { type: "ambiguous" }, server);
     const keepers = this.#deps.keepers().filter(({ id }) => informed.has(id));
-    const answers = await this.#ask(request, keepers);
+    const answers = await this.#queries.ask(request, keepers);
     const isReleased =
       answers.length === informed.size &&
       answers.every((answer) => answer?.type === "ambiguous");
@@ -167,8 +152,7 @@
 
   /** Handles an admission controller's answer. */
   receive(answer: OriginAnswer): void {
-    const query = this.#queries.get(answer.request);
-    query?.receive(unpackOrigin(answer));
+    this.#queries.receive(answer);
   }
 
   /** Tells others once an admission controller is lost or comes back. */
@@ -222,55 +206,6 @@
   /** Finds the record at admission controllers; null if they know none. */
   async #query(request: string): Promise<OriginRecord | null> {
     const keepers = rankOnce(request, this.#deps.keepers()).slice(0, QUERIED);
-    return agreedRecord(await this.#ask(request, keepers));
-  }
-
-  async #ask(
-    request: string,
-    keepers: readonly OriginKeeper[],
-  ): Promise<readonly (OriginRecord | null)[]> {
-    if (keepers.length === 0) return [];
-    const running = this.#queries.get(request);
-    if (running !== undefined) return running.answers;
-    const query = createQuery(keepers.length);
-    this.#queries.set(request, query);
-    for (const keeper of keepers)
-      keeper.send({ type: "origin-query", request });
-    const answers = await query.answers;
-    this.#queries.delete(request);
-    return answers;
-  }
-}
-
-/** Collects the answers until all have come, or for `ANSWER_TIMEOUT_MS`. */
-function createQuery(expected: number): PendingQuery {
-  const answers: (OriginRecord | null)[] = [];
-  let finish = () => {};
-  const done = new Promise<typeof answers>((resolve) => {
-    const timer = setTimeout(() => finish(), ANSWER_TIMEOUT_MS);
-    finish = () => {
-      clearTimeout(timer);
-      resolve([...answers]);
-    };
-  });
-  const receive = (answer: OriginRecord | null) => {
-    answers.push(answer);
-    if (answers.length === expected) finish();
-  };
-  return { answers: done, receive };
-}
-
-/** The record that is the same in all answers that know one. */
-function agreedRecord(
-  records: readonly (OriginRecord | null)[],
-): OriginRecord | null {
-  let agreed: OriginRecord | null = null;
-  for (const record of records) {
-    if (record === null) continue;
-    if (record.type === "ambiguous") return record;
-    if (agreed?.type === "known" && !isCompatible(agreed.origin, record.origin))
-      return { type: "ambiguous" };
-    agreed = record;
+    return agreedRecord(await this.#queries.ask(request, keepers));
   }
-  return agreed;
 }
