Let requests wait for limits where teams are served in order

Change: then they request permits, which controllers issue to the team with the least usage; only a team with about the most usage of those waiting is refused on arrival.

--- a/src/scheduling/fair_queue.ts
+++ b/src/scheduling/fair_queue.ts
@@ -23,6 +23,11 @@
     return this.#size;
   }
 
+  /** Recent usage by a team through this queue, in prompt tokens. */
+  usageOf(team: string): number {
+    return this.#recentUsage.of(team);
+  }
+
   /** Adds a request to its team's queue, by priority, then by objective. */
   add(entry: T): void {
     const { team } = entry.demand;
--- a/src/scheduling/limit_delay.ts
+++ b/src/scheduling/limit_delay.ts
@@ -2,12 +2,18 @@
  * Expected wait of a request when every server of its service names a limit.
  *
  * Requests wait for the requests before them, at the rate of all limits
- * together. Teams take turns, so a team with few requests has fewer before it.
+ * together. The team with the least recent usage goes first, so only a team with
+ * about the most usage of all has to wait for all of them.
  */
 
 import type { Demand } from "./demand.ts";
 import type { ServerLoad } from "./server_load.ts";
 
+/**
+ * Share of the most usage that a waiting team has, above which a team counts as
+ * last. Usage rises by whole requests, so teams with equal shares differ.
+ */
+const LAST_USAGE_SHARE = 0.7;
 const MS_PER_SECOND = 1_000;
 
 /** State of a service at one router. */
@@ -16,16 +22,18 @@
   readonly loads: readonly ServerLoad[];
   /** Part of a limit that this router may use without permits, 0 to 1. */
   readonly share: number;
-  /** Requests of the service that wait here for a server or a permit. */
-  readonly waiting: readonly Demand[];
-  /** How many of them have requested no permit. */
+  /** Teams of the requests that wait here for a server or a permit. */
+  readonly waitingTeams: ReadonlySet<string>;
+  /** Requests that wait here and have requested no permit. */
   readonly queued: number;
+  /** Recent usage by a team, in prompt tokens. */
+  readonly usageOf: (team: string) => number;
 }
 
 /** Returns the wait in milliseconds; 0 if any server has no limit. */
 export function limitDelayMs(
   { team }: Demand,
-  { loads, share, waiting, queued }: LimitDelayContext,
+  { loads, share, waitingTeams, queued, usageOf }: LimitDelayContext,
 ): number {
   let requestsPerS = 0;
   let freeSlots = 0;
@@ -38,22 +46,8 @@
     before += capacity.asks;
   }
   if (requestsPerS === 0) return 0;
-  const beforeInTurn = before * shareBefore(team, waiting);
-  const missingSlots = Math.max(0, beforeInTurn + 1 - freeSlots);
+  const mostUsage = Math.max(0, ...[...waitingTeams].map(usageOf));
+  const isLast = usageOf(team) >= mostUsage * LAST_USAGE_SHARE;
+  const missingSlots = Math.max(0, (isLast ? before : 0) + 1 - freeSlots);
   return (missingSlots / requestsPerS) * MS_PER_SECOND;
 }
-
-/**
- * Share of the waiting requests that come before the team's next one if teams
- * take turns. Requests at other routers are assumed to be divided alike.
- */
-function shareBefore(team: string, waiting: readonly Demand[]): number {
-  if (waiting.length === 0) return 1;
-  const countByTeam = new Map<string, number>();
-  for (const { team: other } of waiting)
-    countByTeam.set(other, (countByTeam.get(other) ?? 0) + 1);
-  const turns = (countByTeam.get(team) ?? 0) + 1;
-  let before = 0;
-  for (const count of countByTeam.values()) before += Math.min(count, turns);
-  return before / waiting.length;
-}
--- a/src/scheduling/placement.ts
+++ b/src/scheduling/placement.ts
@@ -45,9 +45,8 @@
 /** Lower bound that keeps the cost of a stalled engine finite. */
 const MIN_TOKENS_PER_MS = 0.01;
 /**
- * Share of its objective that a request may wait for the limit of one server.
- * Beyond that, it goes to a server that has room, or waits in the router's own
- * queue until one has.
+ * Share of its objective that a request may wait for the limit of one engine
+ * while another one has room.
  */
 const MAX_LIMIT_DELAY_SHARE = 0.3;
 /** Cost of another zone at a plain server, in requests in flight. */
@@ -107,6 +106,22 @@
   return version === null || server.version === version;
 }
 
+/**
+ * Leaves out engines that are at their limits. If all are, requests wait for
+ * permits of any: their admission controllers know the usage of all teams.
+ */
+function enginesForLimits(
+  usable: readonly ServerLoad[],
+  demand: Demand,
+  context: PlacementContext,
+): readonly ServerLoad[] {
+  const withinLimit = usable.filter((load) =>
+    isWithinLimit(load, demand, context),
+  );
+  if (withinLimit.length > 0) return withinLimit;
+  return usable.filter(({ needsPermit }) => needsPermit);
+}
+
 function isWithinLimit(
   load: ServerLoad,
   { objectiveMs }: Demand,
@@ -163,10 +178,10 @@
   usable: readonly ServerLoad[],
   context: PlacementContext,
 ): Choice | null {
-  const withinLimit = usable.filter((load) =>
-    isWithinLimit(load, demand, context),
+  const owners = ownersOf(
+    prompt.parts,
+    enginesForLimits(usable, demand, context),
   );
-  const owners = ownersOf(prompt.parts, withinLimit);
   // The owners but for limits: their caches still have the prefix.
   const sources = ownersOf(prompt.parts, usable);
   let best: Choice | null = null;
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -378,9 +378,16 @@
 
   /** Recent usage by a request's team at all engines but one. */
   #usageElsewhere({ team, service }: Demand, { id }: ServerLoad): number {
-    return this.#loadsOf(service)
-      .filter((load) => load.id !== id)
-      .reduce((sum, { admission }) => sum + (admission?.usageOf(team) ?? 0), 0);
+    const others = this.#loadsOf(service).filter((load) => load.id !== id);
+    return this.#usageAt(others, team) ?? 0;
+  }
+
+  /** Recent usage by a team; null if no server has an admission controller. */
+  #usageAt(loads: readonly ServerLoad[], team: string): number | null {
+    let usage: number | null = null;
+    for (const { admission } of loads)
+      if (admission !== null) usage = (usage ?? 0) + admission.usageOf(team);
+    return usage;
   }
 
   #noteFirstToken(load: ServerLoad, run: RequestInFlight): void {
@@ -524,12 +531,13 @@
       (load) => load.limitedCapacity(this.#routerShare) !== null,
     );
     if (!isLimited) return 0;
-    const waiting = [...this.#pending]
-      .map((pending) => pending.demand)
-      .filter((other) => other.service === service);
+    const waitingTeams = new Set<string>();
+    for (const { demand: other } of this.#pending)
+      if (other.service === service) waitingTeams.add(other.team);
+    const queue = this.#queueOf(service);
     return limitDelayMs(demand, {
-      ...{ loads, waiting, share: this.#routerShare },
-      queued: this.#queueOf(service).size,
+      ...{ loads, waitingTeams, queued: queue.size, share: this.#routerShare },
+      usageOf: (team) => this.#usageAt(loads, team) ?? queue.usageOf(team),
     });
   }
 
