Spread requests over limited engines instead of chasing free slots

All routers chose the engines with free slots in their reports, which are up to 375 ms old; the queue at the next engine with a slot was empty. Change: a request considers its owners, with the wait for their limits as cost, and where those are at their limits the owners among engines without one or, if there are none, four engines of its own.

--- a/src/scheduling/placement.ts
+++ b/src/scheduling/placement.ts
@@ -13,7 +13,7 @@
 import type { Demand, Prompt, PromptPart } from "./demand.ts";
 import { privateTokensOf, sharedParts } from "./demand.ts";
 import * as engineCapacity from "./engine_capacity.ts";
-import { rank } from "./rendezvous.ts";
+import { rank, rankOnce } from "./rendezvous.ts";
 import type { ServerLoad } from "./server_load.ts";
 
 /**
@@ -45,10 +45,16 @@
 /** Lower bound that keeps the cost of a stalled engine finite. */
 const MIN_TOKENS_PER_MS = 0.01;
 /**
- * Share of its objective that a request may wait for the limit of one engine
- * while another one has room.
+ * Share of its objective that a request may wait for the limits of its owners
+ * before other engines are considered, too.
  */
 const MAX_LIMIT_DELAY_SHARE = 0.3;
+/**
+ * Engines that are considered besides the owners where all engines name limits.
+ * Each request has its own: all routers would ask the one with the shortest
+ * queue in their reports, and its next slots would go to the first to ask.
+ */
+const LIMITED_CANDIDATES = 4;
 /** Cost of another zone at a plain server, in requests in flight. */
 const OTHER_ZONE_COST_RUNS = 0.5;
 
@@ -84,12 +90,7 @@
       isVersionAllowed(load, demand) &&
       load.health.isUsable(context.nowMs),
   );
-  if (demand.prompt === null) {
-    const servers = usable.filter((load) =>
-      isWithinLimit(load, demand, context),
-    );
-    return choosePlainServer(servers, context);
-  }
+  if (demand.prompt === null) return choosePlainServer(usable, context);
   return chooseEngine(
     demand,
     demand.prompt,
@@ -107,30 +108,34 @@
 }
 
 /**
- * Leaves out engines that are at their limits. If all are, requests wait for
- * permits of any: their admission controllers know the usage of all teams.
+ * Returns the owners and, if they are at their limits, engines that the request
+ * may go to instead: its owners among those without a limit, or any.
  */
-function enginesForLimits(
-  usable: readonly ServerLoad[],
-  demand: Demand,
-  context: PlacementContext,
-): readonly ServerLoad[] {
-  const withinLimit = usable.filter((load) =>
-    isWithinLimit(load, demand, context),
+function candidatesOf(
+  owners: readonly ServerLoad[],
+  {
+    usable,
+    demand,
+    prompt,
+    context: { share },
+  }: {
+    readonly usable: readonly ServerLoad[];
+    readonly demand: Demand;
+    readonly prompt: Prompt;
+    readonly context: PlacementContext;
+  },
+): ReadonlySet<ServerLoad> {
+  const maxDelayMs = demand.objectiveMs * MAX_LIMIT_DELAY_SHARE;
+  const isAtLimit = (load: ServerLoad) => load.limitDelayMs(share) > maxDelayMs;
+  if (!owners.every(isAtLimit)) return new Set(owners);
+  const unlimited = usable.filter(
+    (load) => load.limitedCapacity(share) === null,
   );
-  if (withinLimit.length > 0) return withinLimit;
-  return usable.filter(({ needsPermit }) => needsPermit);
-}
-
-function isWithinLimit(
-  load: ServerLoad,
-  { objectiveMs }: Demand,
-  { share }: PlacementContext,
-): boolean {
-  const delayMs = load.limitDelayMs(share);
-  // Without a permit, the request would be sent at once.
-  if (!load.needsPermit) return delayMs === 0;
-  return delayMs <= objectiveMs * MAX_LIMIT_DELAY_SHARE;
+  const others =
+    unlimited.length > 0
+      ? ownersOf(prompt.parts, unlimited).slice(0, OWNERS_PER_PREFIX)
+      : rankOnce(demand.requestId, usable).slice(0, LIMITED_CANDIDATES);
+  return new Set([...owners, ...others]);
 }
 
 /**
@@ -157,7 +162,7 @@
     const { server, health } = load;
     const maxRuns = Math.max(1, server.slots * RUNS_PER_SLOT * share);
     const { runs } = load.ownWork;
-    if (runs >= maxRuns) continue;
+    if (runs >= maxRuns || load.limitDelayMs(share) > 0) continue;
     const otherZone = server.availabilityZone === availabilityZone ? 0 : 1;
     const cost =
       runs +
@@ -178,24 +183,25 @@
   usable: readonly ServerLoad[],
   context: PlacementContext,
 ): Choice | null {
-  const owners = ownersOf(
-    prompt.parts,
-    enginesForLimits(usable, demand, context),
-  );
-  // The owners but for limits: their caches still have the prefix.
-  const sources = ownersOf(prompt.parts, usable);
+  const owners = ownersOf(prompt.parts, usable);
   let best: Choice | null = null;
   let bestCostMs = Number.POSITIVE_INFINITY;
-  for (const load of owners) {
-    const source = copySourceFor(load, prompt, sources);
-    const missingTokens = missingTokensAt(load, prompt, load === sources[0]);
+  for (const load of candidatesOf(owners, {
+    usable,
+    demand,
+    prompt,
+    context,
+  })) {
+    const source = copySourceFor(load, prompt, owners);
+    const missingTokens = missingTokensAt(load, prompt, load === owners[0]);
     const uncachedTokens = Math.min(
       missingTokens,
       prompt.inputTokens - source.copiedTokens,
     );
     const canAccept =
       load.needsPermit ||
-      hasCapacity(load, demand, { uncachedTokens, context });
+      (load.limitDelayMs(context.share) === 0 &&
+        hasCapacity(load, demand, { uncachedTokens, context }));
     if (!canAccept) continue;
     const { tokens, runs, tokensPerMs } = backlogAt(load, context.share);
     const weightedTokens =
