--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -527,8 +527,10 @@
         !excluded.has(load.id) &&
         isVersionAllowed(load, demand),
     );
+    const share = this.#routerShare;
+    // Most of the time no server names a limit, and the rest isn't needed.
     const isLimited = loads.every(
-      (load) => load.limitedCapacity(this.#routerShare) !== null,
+      (load) => load.limitedCapacity(share) !== null,
     );
     if (!isLimited) return 0;
     const waitingTeams = new Set<string>();
@@ -536,7 +538,7 @@
       if (other.service === service) waitingTeams.add(other.team);
     const queue = this.#queueOf(service);
     return limitDelayMs(demand, {
-      ...{ loads, waitingTeams, queued: queue.size, share: this.#routerShare },
+      ...{ loads, share, waitingTeams, queued: queue.size },
       usageOf: (team) => this.#usageAt(loads, team) ?? queue.usageOf(team),
     });
   }
