Tell admission controllers of open streams once per change of several

Cause: reading the diff; each of N controllers that come back after a partition made a router rank all of them anew for each open stream. Change: changes within 20 ms are handled together. Measured: tests/direct/stream_origins_test.ts and stream_version_test.ts pass.

--- a/src/direct/stream_origins.ts
+++ b/src/direct/stream_origins.ts
@@ -34,6 +34,11 @@
 const QUERIED = 4;
 /** Streams that are told again when an admission controller is lost. */
 const TOLD_CAPACITY = 10_000;
+/**
+ * Time in which changes of admission controllers are handled together: after a
+ * partition, all of them come back at once.
+ */
+const RETELL_DELAY_MS = 20;
 
 /** Dependencies of `StreamOrigins`. */
 export interface StreamOriginsDependencies {
@@ -63,6 +68,8 @@
   /** By request, the oldest first. */
   readonly #told = new Map<string, ToldOrigin>();
   readonly #queries = new OriginQueries();
+  readonly #changedKeepers = new Set<string>();
+  #retellTimer: NodeJS.Timeout | null = null;
 
   constructor(deps: StreamOriginsDependencies) {
     this.#deps = deps;
@@ -157,12 +164,20 @@
 
   /** Tells others once an admission controller is lost or comes back. */
   handleKeeperChange(host: string): void {
+    this.#changedKeepers.add(host);
+    this.#retellTimer ??= setTimeout(() => this.#retell(), RETELL_DELAY_MS);
+    this.#retellTimer.unref();
+  }
+
+  #retell(): void {
+    this.#retellTimer = null;
     const keepers = this.#deps.keepers();
     for (const [request, told] of this.#told) {
       // One that has restarted remembers nothing.
-      told.keepers.delete(host);
+      for (const host of this.#changedKeepers) told.keepers.delete(host);
       this.#tell(request, told, keepers);
     }
+    this.#changedKeepers.clear();
   }
 
   #note(request: string, record: OriginRecord, server: string): void {
--- a/tests/direct/stream_origins_test.ts
+++ b/tests/direct/stream_origins_test.ts
@@ -17,7 +17,7 @@
   type ManualClock,
 } from "../support/manual_clock.ts";
 import { createServer } from "../support/servers.ts";
-import { events } from "./fixture.ts";
+import { events, letOtherTasksRun } from "./fixture.ts";
 
 /** An admission controller that routers can lose and reach again. */
 interface Keeper {
@@ -101,6 +101,7 @@
   for (const keeper of keepers) {
     keeper.memory = new OriginMemory(clock);
     first.handleKeeperChange(keeper.id);
+    await letOtherTasksRun();
   }
   const { origins } = createRouter(clock, keepers);
   assert.equal((await origins.find("a"))?.version, "v1");
