--- a/src/direct/admission_clients.ts
+++ b/src/direct/admission_clients.ts
@@ -14,7 +14,7 @@
 import type { EngineAdmission, LimitObservation } from "../scheduling/mod.ts";
 import { type Identity, Traffic } from "../transport/mod.ts";
 import { AdmissionClient } from "./admission_client.ts";
-import type { OriginKeeper } from "./origin_queries.ts";
+import type { OriginHolder } from "./origin_queries.ts";
 import type { DirectRouterSettings } from "./settings.ts";
 
 /** Dependencies of `AdmissionClients`. */
@@ -116,8 +116,8 @@
     for (const { client } of this.#entries.values()) client.sendReport(report);
   }
 
-  /** Controllers that are connected, as keepers of the origins of streams. */
-  get keepers(): OriginKeeper[] {
+  /** Controllers that are connected, as holders of the origins of streams. */
+  get originHolders(): OriginHolder[] {
     const open = [...this.#entries].filter(([, { client }]) => client.isOpen);
     return open.map(([id, { client }]) => ({
       id,
--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -103,13 +103,13 @@
         onReport: (report) => this.#crashGuard.receive(report),
         onRequestLimit: (notice) => this.#handleRequestLimit(notice),
         onOrigin: (answer) => this.#origins.receive(answer),
-        onConnection: (host) => this.#origins.handleKeeperChange(host),
+        onConnection: (host) => this.#origins.handleHolderChange(host),
       },
     );
     this.#origins = new StreamOrigins({
       ...{ clock, events, directory: this.directory },
       versions: this.#versions,
-      keepers: () => this.#admissionClients.keepers,
+      holders: () => this.#admissionClients.originHolders,
     });
     this.#crashGuard = new CrashGuard({
       ...{ clock, events, pool: this.#pool },
--- a/src/direct/origin_queries.ts
+++ b/src/direct/origin_queries.ts
@@ -18,7 +18,7 @@
 const ANSWER_TIMEOUT_MS = 200;
 
 /** A connected admission controller. */
-export interface OriginKeeper {
+export interface OriginHolder {
   /** Its host. */
   readonly id: string;
   send(message: OriginNotice | OriginQuery): void;
@@ -40,15 +40,15 @@
   /** Resolves once all have answered, or after `ANSWER_TIMEOUT_MS`. */
   async ask(
     request: string,
-    keepers: readonly OriginKeeper[],
+    holders: readonly OriginHolder[],
   ): Promise<OriginAnswers> {
-    if (keepers.length === 0) return [];
+    if (holders.length === 0) return [];
     const pending = this.#pending.get(request);
     if (pending !== undefined) return pending.answers;
-    const query = createQuery(keepers.length);
+    const query = createQuery(holders.length);
     this.#pending.set(request, query);
-    for (const keeper of keepers)
-      keeper.send({ type: "origin-query", request });
+    for (const holder of holders)
+      holder.send({ type: "origin-query", request });
     const answers = await query.answers;
     this.#pending.delete(request);
     return answers;
--- a/src/direct/stream_origins.ts
+++ b/src/direct/stream_origins.ts
@@ -1,9 +1,9 @@
 /**
  * Remembers where streams began, for callers that take them up again.
  *
- * A caller may come back at any router, also when the first one is gone. Each
- * beginning is therefore told to two admission controllers before the server
- * can respond; any router finds them by rendezvous hashing of the request id.
+ * A caller may come back at any router, also when the first one is gone. The
+ * origin of a stream is therefore replicated to two admission controllers before
+ * the server can respond; rendezvous hashing of the request id selects them.
  */
 
 import type { Clock } from "../common/clock.ts";
@@ -21,24 +21,24 @@
 import { rankOnce } from "../scheduling/mod.ts";
 import {
   agreedRecord,
-  type OriginKeeper,
+  type OriginHolder,
   OriginQueries,
 } from "./origin_queries.ts";
 
-/** Admission controllers that are told of a stream: one may be lost. */
+/** Admission controllers that hold an origin: one may be lost. */
 const COPIES = 2;
 /**
  * Admission controllers that are asked: routers that don't reach the same ones
  * rank them differently.
  */
 const QUERIED = 4;
-/** Streams that are told again when an admission controller is lost. */
-const TOLD_CAPACITY = 10_000;
+/** Origins that are replicated again when an admission controller is lost. */
+const REPLICATED_CAPACITY = 10_000;
 /**
  * Time in which changes of admission controllers are handled together: after a
  * partition, all of them come back at once.
  */
-const RETELL_DELAY_MS = 20;
+const REPLICATION_DELAY_MS = 20;
 
 /** Dependencies of `StreamOrigins`. */
 export interface StreamOriginsDependencies {
@@ -47,18 +47,18 @@
   readonly directory: ServerDirectory;
   readonly versions: VersionHistory;
   /** Admission controllers that are connected now. */
-  readonly keepers: () => readonly OriginKeeper[];
+  readonly holders: () => readonly OriginHolder[];
 }
 
-/** A beginning that this router has told admission controllers of. */
-interface ToldOrigin {
+/** An origin that this router has replicated. */
+interface ReplicatedOrigin {
   readonly record: OriginRecord;
   readonly host: string;
-  readonly toldAtMs: number;
-  /** Those that have this record. */
-  readonly keepers: Set<string>;
-  /** Those that have been told of the request at any time. */
-  readonly informed: Set<string>;
+  readonly notedAtMs: number;
+  /** Hosts that hold this record. */
+  readonly current: Set<string>;
+  /** Hosts that have held any record of the request. */
+  readonly everHeld: Set<string>;
 }
 
 /** The origins of streams, here and at admission controllers. */
@@ -66,10 +66,10 @@
   readonly #deps: StreamOriginsDependencies;
   readonly #memory: OriginMemory;
   /** By request, the oldest first. */
-  readonly #told = new Map<string, ToldOrigin>();
+  readonly #replicated = new Map<string, ReplicatedOrigin>();
   readonly #queries = new OriginQueries();
-  readonly #changedKeepers = new Set<string>();
-  #retellTimer: NodeJS.Timeout | null = null;
+  readonly #changedHolders = new Set<string>();
+  #replicationTimer: NodeJS.Timeout | null = null;
 
   constructor(deps: StreamOriginsDependencies) {
     this.#deps = deps;
@@ -130,7 +130,7 @@
 
   /**
    * Version that a request must keep to that was sent but has no event; null if
-   * it may be sent to any. Others have been told of the version that it was
+   * it may be sent to any. Holders know the version that it was
    * sent to first, so all of them must confirm that this isn't certain any more.
    */
   async boundVersion(request: string): Promise<string | null> {
@@ -138,14 +138,14 @@
     if (record?.type !== "known") return null;
     const { server, service, version } = record.origin;
     if (this.#deps.versions.soleVersion(service, 0) === version) return version;
-    const told = this.#told.get(request);
-    if (told === undefined) return version;
-    const { informed } = told;
+    const replicated = this.#replicated.get(request);
+    if (replicated === undefined) return version;
+    const { everHeld } = replicated;
     this.#note(request, { type: "ambiguous" }, server);
-    const keepers = this.#deps.keepers().filter(({ id }) => informed.has(id));
-    const answers = await this.#queries.ask(request, keepers);
+    const holders = this.#deps.holders().filter(({ id }) => everHeld.has(id));
+    const answers = await this.#queries.ask(request, holders);
     const isReleased =
-      answers.length === informed.size &&
+      answers.length === everHeld.size &&
       answers.every((answer) => answer?.type === "ambiguous");
     if (isReleased) return null;
     this.#note(request, record, server);
@@ -154,7 +154,7 @@
 
   /** Records that a response is complete: nobody takes its stream up. */
   noteEnd(request: string): void {
-    this.#told.delete(request);
+    this.#replicated.delete(request);
   }
 
   /** Handles an admission controller's answer. */
@@ -162,65 +162,70 @@
     this.#queries.receive(answer);
   }
 
-  /** Tells others once an admission controller is lost or comes back. */
-  handleKeeperChange(host: string): void {
-    this.#changedKeepers.add(host);
-    this.#retellTimer ??= setTimeout(() => this.#retell(), RETELL_DELAY_MS);
-    this.#retellTimer.unref();
+  /** Replicates origins again once a holder is lost or comes back. */
+  handleHolderChange(host: string): void {
+    this.#changedHolders.add(host);
+    this.#replicationTimer ??= setTimeout(
+      () => this.#replicateAgain(),
+      REPLICATION_DELAY_MS,
+    );
+    this.#replicationTimer.unref();
   }
 
-  #retell(): void {
-    this.#retellTimer = null;
-    const keepers = this.#deps.keepers();
-    for (const [request, told] of this.#told) {
+  #replicateAgain(): void {
+    this.#replicationTimer = null;
+    const holders = this.#deps.holders();
+    for (const [request, replicated] of this.#replicated) {
       // One that has restarted remembers nothing.
-      for (const host of this.#changedKeepers) told.keepers.delete(host);
-      this.#tell(request, told, keepers);
+      for (const host of this.#changedHolders) replicated.current.delete(host);
+      this.#replicate(request, replicated, holders);
     }
-    this.#changedKeepers.clear();
+    this.#changedHolders.clear();
   }
 
   #note(request: string, record: OriginRecord, server: string): void {
     this.#memory.note(request, record);
     const host = this.#deps.directory.get(server)?.host ?? "";
-    const toldAtMs = this.#deps.clock.monotonicMs();
-    const informed = this.#told.get(request)?.informed ?? new Set<string>();
-    const keepers = new Set<string>();
-    const told = { record, host, toldAtMs, keepers, informed };
-    this.#told.delete(request);
-    this.#told.set(request, told);
-    this.#forgetOldest(toldAtMs - ORIGIN_LIFETIME_MS);
-    this.#tell(request, told, this.#deps.keepers());
+    const notedAtMs = this.#deps.clock.monotonicMs();
+    const everHeld =
+      this.#replicated.get(request)?.everHeld ?? new Set<string>();
+    const current = new Set<string>();
+    const replicated = { record, host, notedAtMs, current, everHeld };
+    this.#replicated.delete(request);
+    this.#replicated.set(request, replicated);
+    this.#forgetOldest(notedAtMs - ORIGIN_LIFETIME_MS);
+    this.#replicate(request, replicated, this.#deps.holders());
   }
 
   #forgetOldest(beforeMs: number): void {
-    for (const [request, { toldAtMs }] of this.#told) {
-      if (toldAtMs >= beforeMs && this.#told.size <= TOLD_CAPACITY) return;
-      this.#told.delete(request);
+    for (const [request, { notedAtMs }] of this.#replicated) {
+      if (notedAtMs >= beforeMs && this.#replicated.size <= REPLICATED_CAPACITY)
+        return;
+      this.#replicated.delete(request);
     }
   }
 
-  #tell(
+  #replicate(
     request: string,
-    { record, host, keepers: holders, informed }: ToldOrigin,
-    keepers: readonly OriginKeeper[],
+    { record, host, current, everHeld }: ReplicatedOrigin,
+    holders: readonly OriginHolder[],
   ): void {
     // The stream breaks with the server's host, and its controller is lost too.
-    const others = keepers.filter(({ id }) => id !== host);
-    const candidates = others.length > 0 ? others : keepers;
+    const others = holders.filter(({ id }) => id !== host);
+    const candidates = others.length > 0 ? others : holders;
     const chosen = rankOnce(request, candidates).slice(0, COPIES);
-    const outdated = keepers.filter(({ id }) => informed.has(id));
-    for (const keeper of new Set([...chosen, ...outdated])) {
-      if (holders.has(keeper.id)) continue;
-      holders.add(keeper.id);
-      informed.add(keeper.id);
-      keeper.send({ type: "stream-origin", request, ...packOrigin(record) });
+    const outdated = holders.filter(({ id }) => everHeld.has(id));
+    for (const holder of new Set([...chosen, ...outdated])) {
+      if (current.has(holder.id)) continue;
+      current.add(holder.id);
+      everHeld.add(holder.id);
+      holder.send({ type: "stream-origin", request, ...packOrigin(record) });
     }
   }
 
   /** Finds the record at admission controllers; null if they know none. */
   async #query(request: string): Promise<OriginRecord | null> {
-    const keepers = rankOnce(request, this.#deps.keepers()).slice(0, QUERIED);
-    return agreedRecord(await this.#queries.ask(request, keepers));
+    const holders = rankOnce(request, this.#deps.holders()).slice(0, QUERIED);
+    return agreedRecord(await this.#queries.ask(request, holders));
   }
 }
--- a/tests/direct/stream_origins_test.ts
+++ b/tests/direct/stream_origins_test.ts
@@ -2,7 +2,7 @@
 
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import type { OriginKeeper } from "../../src/direct/origin_queries.ts";
+import type { OriginHolder } from "../../src/direct/origin_queries.ts";
 import { StreamOrigins } from "../../src/direct/stream_origins.ts";
 import { ServerDirectory, VersionHistory } from "../../src/directory/mod.ts";
 import {
@@ -20,14 +20,14 @@
 import { events, letOtherTasksRun } from "./fixture.ts";
 
 /** An admission controller that routers can lose and reach again. */
-interface Keeper {
+interface Holder {
   readonly id: string;
   memory: OriginMemory;
   /** Messages to it are lost, and its answers. */
   isCut: boolean;
 }
 
-function createKeepers(clock: ManualClock, count = 3): Keeper[] {
+function createHolders(clock: ManualClock, count = 3): Holder[] {
   return Array.from({ length: count }, (_, index) => ({
     id: `10.0.1.${index}`,
     memory: new OriginMemory(clock),
@@ -35,12 +35,12 @@
   }));
 }
 
-function createRouter(clock: ManualClock, keepers: readonly Keeper[]) {
+function createRouter(clock: ManualClock, holders: readonly Holder[]) {
   const directory = new ServerDirectory(clock);
-  const connect = ({ id, ...keeper }: Keeper, index: number): OriginKeeper => ({
+  const connect = ({ id, ...holder }: Holder, index: number): OriginHolder => ({
     id,
     send: (message) => {
-      const current = keepers[index] ?? { id, ...keeper };
+      const current = holders[index] ?? { id, ...holder };
       if (current.isCut) return;
       const { request } = message;
       if (message.type === "stream-origin") {
@@ -63,7 +63,7 @@
   directory.put(createServer({ id: "s2", version: "v2" }));
   const origins: StreamOrigins = new StreamOrigins({
     ...{ clock, events, directory, versions },
-    keepers: () => keepers.map(connect),
+    holders: () => holders.map(connect),
   });
   return { origins, directory };
 }
@@ -75,9 +75,9 @@
 
 test("another router finds where a stream began", async () => {
   const clock = createManualClock();
-  const keepers = createKeepers(clock);
-  createRouter(clock, keepers).origins.noteSend("a", originAt("s1"));
-  const { origins } = createRouter(clock, keepers);
+  const holders = createHolders(clock);
+  createRouter(clock, holders).origins.noteSend("a", originAt("s1"));
+  const { origins } = createRouter(clock, holders);
   assert.equal((await origins.find("a"))?.version, "v1");
   assert.equal(await origins.find("b"), null);
 });
@@ -85,9 +85,9 @@
 test("a beginning is known after the loss of any one controller", async () => {
   for (const lost of [0, 1, 2]) {
     const clock = createManualClock();
-    const keepers = createKeepers(clock);
-    createRouter(clock, keepers).origins.noteSend("a", originAt("s1"));
-    const left = keepers.filter((_, index) => index !== lost);
+    const holders = createHolders(clock);
+    createRouter(clock, holders).origins.noteSend("a", originAt("s1"));
+    const left = holders.filter((_, index) => index !== lost);
     const { origins } = createRouter(clock, left);
     assert.equal((await origins.find("a"))?.version, "v1");
   }
@@ -95,25 +95,25 @@
 
 test("controllers that restart one after the other are told again", async () => {
   const clock = createManualClock();
-  const keepers = createKeepers(clock);
-  const first = createRouter(clock, keepers).origins;
+  const holders = createHolders(clock);
+  const first = createRouter(clock, holders).origins;
   first.noteSend("a", originAt("s1"));
-  for (const keeper of keepers) {
-    keeper.memory = new OriginMemory(clock);
-    first.handleKeeperChange(keeper.id);
+  for (const holder of holders) {
+    holder.memory = new OriginMemory(clock);
+    first.handleHolderChange(holder.id);
     await letOtherTasksRun();
   }
-  const { origins } = createRouter(clock, keepers);
+  const { origins } = createRouter(clock, holders);
   assert.equal((await origins.find("a"))?.version, "v1");
 });
 
 test("a request without an event may go to another version once all know", async () => {
   const clock = createManualClock();
-  const keepers = createKeepers(clock);
-  const first = createRouter(clock, keepers).origins;
+  const holders = createHolders(clock);
+  const first = createRouter(clock, holders).origins;
   first.noteSend("a", originAt("s1"));
   assert.equal(await first.boundVersion("a"), null);
-  const { origins } = createRouter(clock, keepers);
+  const { origins } = createRouter(clock, holders);
   assert.equal(await origins.find("a"), null);
   first.noteSend("a", originAt("s2"));
   first.noteBeginning("a", originAt("s2"));
@@ -122,13 +122,13 @@
 
 test("a request keeps its version while a controller may tell the first", async () => {
   const clock = createManualClock();
-  const keepers = createKeepers(clock);
-  const first = createRouter(clock, keepers).origins;
+  const holders = createHolders(clock);
+  const first = createRouter(clock, holders).origins;
   first.noteSend("a", originAt("s1"));
-  for (const keeper of keepers) keeper.isCut = true;
+  for (const holder of holders) holder.isCut = true;
   assert.equal(await first.boundVersion("a"), "v1");
-  for (const keeper of keepers) keeper.isCut = false;
-  const { origins } = createRouter(clock, keepers);
+  for (const holder of holders) holder.isCut = false;
+  const { origins } = createRouter(clock, holders);
   assert.equal((await origins.find("a"))?.version, "v1");
 });
 
