Split the played load of limited engines into steps

Cause: reading the change; one function of 110 lines held the whole play, with a map of receivers that the requests can be themselves. Change: a class with a method a step; loads, bounds and assertions as before, served requests are counted as they end instead of when they are permitted. Measured: passes three times.

--- a/tests/scheduling/limited_engines_test.ts
+++ b/tests/scheduling/limited_engines_test.ts
@@ -5,7 +5,12 @@
 
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { AdmissionController } from "../../src/admission/mod.ts";
+import {
+  AdmissionController,
+  type PermitReceiver,
+} from "../../src/admission/mod.ts";
+import type { PermitRequest } from "../../src/protocol/mod.ts";
+import type { Demand } from "../../src/scheduling/demand.ts";
 import type {
   EngineAdmission,
   EngineReport,
@@ -31,6 +36,7 @@
 const OTHER_ENGINE_AFTER_MS = 200;
 const STEP_MS = 20;
 const PLAYED_MS = 20_000;
+const PREFIXES = 20;
 const ENGINE = { slots: 64, cacheTokens: 400_000, copiedTokensPerMs: 2_500 };
 
 /** A router's view of one engine. */
@@ -39,16 +45,32 @@
   report: EngineReport;
 }
 
-interface Waiting {
-  readonly team: string;
+/** A request until it is permitted or refused. */
+class WaitingRequest implements PermitReceiver {
+  readonly demand: Demand;
   readonly router: number;
-  readonly demand: ReturnType<typeof createDemand>;
   readonly refuseAtMs: number;
-  engine: number;
-  ask: number;
-  askedAtMs: number;
-  isPermitted: boolean;
-  hasEnded: boolean;
+  /** Engine whose permit it waits for, and the number of its ask there. */
+  asked: { readonly engine: number; readonly ask: number } | null = null;
+  askedAtMs = 0;
+  isPermitted = false;
+  hasEnded = false;
+
+  constructor(demand: Demand, { number, nowMs }: RequestPosition) {
+    this.demand = demand;
+    this.router = number % ROUTERS;
+    this.refuseAtMs = nowMs + MAX_WAIT_MS;
+  }
+
+  permit(): void {
+    this.isPermitted = true;
+  }
+}
+
+/** Which request of the play it is, and when it arrives. */
+interface RequestPosition {
+  readonly number: number;
+  readonly nowMs: number;
 }
 
 function createControllers(clock: ManualClock): AdmissionController[] {
@@ -89,120 +111,131 @@
   return Object.assign(view, { load });
 }
 
-/** Returns the requests that were served, by team. */
-function play(requestsPerSByTeam: Readonly<Record<string, number>>) {
-  const clock = createManualClock();
-  const controllers = createControllers(clock);
-  const views = Array.from({ length: ROUTERS }, () =>
-    controllers.map((controller, index) =>
-      createView(clock, controller, `e${index}`),
+/** Callers, routers and engines; `play` them once. */
+class Fleet {
+  readonly #clock = createManualClock();
+  readonly #controllers = createControllers(this.#clock);
+  readonly #viewsByRouter = Array.from({ length: ROUTERS }, () =>
+    this.#controllers.map((controller, index) =>
+      createView(this.#clock, controller, `e${index}`),
     ),
   );
-  const served = new Map<string, number>();
-  let waiting: Waiting[] = [];
-  let asks = 0;
-  let lastRequest = 0;
-
-  const usageElsewhere = (team: string, engine: number) =>
-    controllers.reduce(
-      (sum, { recentUsage }, index) =>
-        index === engine ? sum : sum + recentUsage.of(team),
-      0,
-    );
-  const ask = (request: Waiting) => {
-    const { demand, team } = request;
-    const loads = (views[request.router] ?? []).map(({ load }) => load);
+  readonly #served = new Map<string, number>();
+  #waiting: WaitingRequest[] = [];
+  #lastAsk = 0;
+  #lastRequest = 0;
+
+  /** Returns the number of requests that were served, by team. */
+  play(
+    requestsPerSByTeam: Readonly<Record<string, number>>,
+  ): ReadonlyMap<string, number> {
+    for (let ms = 0; ms < PLAYED_MS; ms += STEP_MS) {
+      this.#clock.advance(STEP_MS);
+      for (const controller of this.#controllers) controller.admitQueued();
+      if (ms % REPORT_AGE_MS < STEP_MS) this.#report();
+      for (const [team, perS] of Object.entries(requestsPerSByTeam)) {
+        const before = Math.floor((ms * perS) / 1_000);
+        const until = Math.floor(((ms + STEP_MS) * perS) / 1_000);
+        for (let count = before; count < until; count += 1) this.#arrive(team);
+      }
+      for (const request of this.#waiting) this.#advance(request);
+      this.#waiting = this.#waiting.filter(({ hasEnded }) => !hasEnded);
+    }
+    return this.#served;
+  }
+
+  #report(): void {
+    const loads = this.#controllers.map(({ load }) => load);
+    for (const views of this.#viewsByRouter) {
+      for (const [index, view] of views.entries()) {
+        const load = loads[index];
+        if (load !== undefined) view.report = { ...load, routers: ROUTERS };
+      }
+    }
+  }
+
+  #arrive(team: string): void {
+    this.#lastRequest += 1;
+    const number = this.#lastRequest;
+    const requestId = `r${number}`;
+    const nowMs = this.#clock.monotonicMs();
+    const demand = createDemand({
+      ...{ requestId, team, objectiveMs: OBJECTIVE_MS },
+      objectiveAtMs: nowMs + OBJECTIVE_MS,
+      prompt: createPrompt(`head-${number % PREFIXES}`, requestId),
+    });
+    const request = new WaitingRequest(demand, { number, nowMs });
+    this.#ask(request);
+    this.#waiting.push(request);
+  }
+
+  /** Requests a permit of the best engine, unless the request has done so. */
+  #ask(request: WaitingRequest): void {
+    const { demand } = request;
+    const views = this.#viewsByRouter[request.router] ?? [];
+    const loads = views.map(({ load }) => load);
     const context = { availabilityZone: "a", nowMs: 0, share: 1 / ROUTERS };
     const choice = chooseServer(demand, loads, context);
-    if (choice === null || demand.prompt === null) return;
-    const engine = Number(choice.load.id.slice(1));
-    request.askedAtMs = clock.monotonicMs();
-    if (engine === request.engine) return;
-    controllers[request.engine]?.withdraw(receiverOf(request), request.ask);
-    asks += 1;
-    Object.assign(request, { engine, ask: asks });
-    const view = views[request.router]?.[engine];
+    if (choice === null) return;
+    const engine = loads.indexOf(choice.load);
+    request.askedAtMs = this.#clock.monotonicMs();
+    if (engine === request.asked?.engine) return;
+    this.#withdraw(request);
+    this.#lastAsk += 1;
+    request.asked = { engine, ask: this.#lastAsk };
+    const view = views[engine];
     if (view !== undefined)
       view.report = { ...view.report, asks: view.report.asks + 1 };
-    const parts = demand.prompt.parts.map(({ id, tokens }) => [id, tokens]);
-    controllers[engine]?.enqueue(receiverOf(request), {
-      ...{ type: "ask", ask: asks, team, cost: 10_200 },
-      ...{ elsewhere: usageElsewhere(team, engine), copiedTokens: 9_000 },
-      parts: parts as [string, number][],
+    const message = this.#permitRequest(demand, request.asked);
+    this.#controllers[engine]?.enqueue(request, message);
+  }
+
+  #permitRequest(
+    { team, objectiveAtMs, prompt }: Demand,
+    { engine, ask }: { readonly engine: number; readonly ask: number },
+  ): PermitRequest {
+    const others = this.#controllers.filter((_, index) => index !== engine);
+    return {
+      ...{ type: "ask", ask, team, cost: 10_200, copiedTokens: 9_000 },
+      elsewhere: others.reduce((sum, c) => sum + c.recentUsage.of(team), 0),
+      parts: (prompt?.parts ?? []).map(({ id, tokens }) => [id, tokens]),
       ...{ outputTokens: 100, objectiveMs: OBJECTIVE_MS },
-      leftMs: demand.objectiveAtMs - clock.monotonicMs(),
-    });
-  };
-  const receivers = new Map<Waiting, { permit: (ask: number) => void }>();
-  const receiverOf = (request: Waiting) => {
-    const known = receivers.get(request);
-    if (known !== undefined) return known;
-    const receiver = {
-      permit: () => {
-        request.isPermitted = true;
-        served.set(request.team, (served.get(request.team) ?? 0) + 1);
-      },
+      leftMs: objectiveAtMs - this.#clock.monotonicMs(),
     };
-    receivers.set(request, receiver);
-    return receiver;
-  };
+  }
 
-  for (let ms = 0; ms < PLAYED_MS; ms += STEP_MS) {
-    clock.advance(STEP_MS);
-    const nowMs = clock.monotonicMs();
-    for (const controller of controllers) controller.admitQueued();
-    if (ms % REPORT_AGE_MS < STEP_MS) {
-      for (const router of views)
-        for (const [index, view] of router.entries()) {
-          const load = controllers[index]?.load;
-          if (load !== undefined) view.report = { ...load, routers: ROUTERS };
-        }
+  #advance(request: WaitingRequest): void {
+    const nowMs = this.#clock.monotonicMs();
+    if (request.isPermitted) this.#serve(request);
+    else if (nowMs >= request.refuseAtMs) {
+      this.#withdraw(request);
+      request.hasEnded = true;
+    } else if (nowMs >= request.askedAtMs + OTHER_ENGINE_AFTER_MS) {
+      this.#ask(request);
     }
-    for (const [team, perS] of Object.entries(requestsPerSByTeam)) {
-      const before = Math.floor((ms * perS) / 1_000);
-      const until = Math.floor(((ms + STEP_MS) * perS) / 1_000);
-      for (let count = before; count < until; count += 1) {
-        lastRequest += 1;
-        const request: Waiting = {
-          ...{ team, router: lastRequest % ROUTERS, engine: -1, ask: 0 },
-          demand: createDemand({
-            ...{
-              requestId: `r${lastRequest}`,
-              team,
-              objectiveMs: OBJECTIVE_MS,
-            },
-            objectiveAtMs: nowMs + OBJECTIVE_MS,
-            prompt: createPrompt(`head-${lastRequest % 20}`, `r${lastRequest}`),
-          }),
-          refuseAtMs: nowMs + MAX_WAIT_MS,
-          ...{ askedAtMs: 0, isPermitted: false, hasEnded: false },
-        };
-        ask(request);
-        waiting.push(request);
-      }
-    }
-    for (const request of waiting) {
-      const receiver = receiverOf(request);
-      const controller = controllers[request.engine];
-      if (request.isPermitted) {
-        controller?.markPrefilled(receiver, request.ask);
-        controller?.finish(receiver, request.ask, "served");
-        request.hasEnded = true;
-      } else if (nowMs >= request.refuseAtMs) {
-        controller?.withdraw(receiver, request.ask);
-        request.hasEnded = true;
-      } else if (nowMs >= request.askedAtMs + OTHER_ENGINE_AFTER_MS) {
-        ask(request);
-      }
-    }
-    waiting = waiting.filter(({ hasEnded }) => !hasEnded);
   }
-  return served;
+
+  #serve(request: WaitingRequest): void {
+    const { asked, demand } = request;
+    if (asked === null) return;
+    const controller = this.#controllers[asked.engine];
+    controller?.markPrefilled(request, asked.ask);
+    controller?.finish(request, asked.ask, "served");
+    const { team } = demand;
+    this.#served.set(team, (this.#served.get(team) ?? 0) + 1);
+    request.hasEnded = true;
+  }
+
+  #withdraw(request: WaitingRequest): void {
+    if (request.asked === null) return;
+    const { engine, ask } = request.asked;
+    this.#controllers[engine]?.withdraw(request, ask);
+  }
 }
 
 test("a team with few requests is served beside one that floods limited engines", () => {
   const small = TOTAL_PER_S * 0.3;
-  const served = play({ flood: TOTAL_PER_S * 5, small });
+  const served = new Fleet().play({ flood: TOTAL_PER_S * 5, small });
   const asked = small * (PLAYED_MS / 1_000);
   const got = served.get("small") ?? 0;
   // The users' rule of fairness: half of what it asked for.
@@ -210,7 +243,7 @@
 });
 
 test("what the limits of engines allow is used", () => {
-  const served = play({ a: TOTAL_PER_S * 2, b: TOTAL_PER_S * 2 });
+  const served = new Fleet().play({ a: TOTAL_PER_S * 2, b: TOTAL_PER_S * 2 });
   const total = (served.get("a") ?? 0) + (served.get("b") ?? 0);
   const allowed = TOTAL_PER_S * (PLAYED_MS / 1_000);
   assert.ok(total >= allowed * 0.9, `${total} of ${allowed}`);
