Start admission processes of tests in one place

Cause: reading the change; it wrote startAdmission of crashing_part_test.ts again in two tests, and admission_clients_test.ts had a third copy. Change: one function in tests/direct/fixture.ts; no assertion changed.

--- a/tests/direct/admission_clients_test.ts
+++ b/tests/direct/admission_clients_test.ts
@@ -2,31 +2,21 @@
 
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { AdmissionProcess } from "../../src/admission/mod.ts";
 import { systemClock } from "../../src/common/clock.ts";
-import { EventLog } from "../../src/common/event_log.ts";
 import { AdmissionClients } from "../../src/direct/admission_clients.ts";
 import { RouteTable } from "../../src/routing/mod.ts";
 import { freePorts } from "../../tools/fleet/ports.ts";
 import { until } from "../../tools/fleet/until.ts";
 import { createConfiguration } from "../support/routes.ts";
 import { createServer } from "../support/servers.ts";
+import { events, FLEET_KEY, startAdmission } from "./fixture.ts";
 
 const TIMEOUT_MS = 5_000;
 const HOST = "127.0.0.1";
-const fleetKey = "key of the test fleet";
-const events = new EventLog("test", (_text, done) => done(null));
 
 async function createClients() {
   const [port = 0] = await freePorts(1);
-  const admission = new AdmissionProcess(
-    {
-      ...{ instance: "side-1", availabilityZone: "a", service: "desk" },
-      ...{ engine: "", listen: { host: HOST, port }, fleetKey },
-    },
-    { events },
-  );
-  await admission.start();
+  const admission = await startAdmission(port);
   const engine = { slots: 8, cacheTokens: 10_000, copiedTokensPerMs: 0 };
   const services = [{ name: "desk", maxConnections: 100, engine }];
   const table = new RouteTable(createConfiguration({ services }));
@@ -37,7 +27,7 @@
         ...{ role: "router", instance: "router-1", incarnation: "1" },
         ...{ availabilityZone: "a", service: "" },
       },
-      settings: { gatePort: port, fleetKey },
+      settings: { gatePort: port, fleetKey: FLEET_KEY },
     },
     {
       table: () => table,
--- a/tests/direct/crashing_part_test.ts
+++ b/tests/direct/crashing_part_test.ts
@@ -3,18 +3,16 @@
 import assert from "node:assert/strict";
 import { afterEach, test } from "node:test";
 import { request } from "undici";
-import { AdmissionProcess } from "../../src/admission/mod.ts";
 import type { ReceivedRequest } from "../../stand_ins/scripted_server.ts";
 import { freePorts } from "../../tools/fleet/ports.ts";
 import { until } from "../../tools/fleet/until.ts";
 import { createConfiguration, createRoute } from "../support/routes.ts";
 import {
   createRouterFixture,
-  events,
-  FLEET_KEY,
   type RouterFixture,
   respondCompletely,
   serverHeaders,
+  startAdmission,
   startRouter,
   startStream,
   writeChunk,
@@ -138,18 +136,6 @@
     assert.equal(await call({ parts: ["sound"] }), 200);
 });
 
-async function startAdmission(port: number): Promise<AdmissionProcess> {
-  const admission = new AdmissionProcess(
-    {
-      ...{ instance: "side-1", availabilityZone: "a", service: "desk" },
-      ...{ engine: "", listen: { host: HOST, port }, fleetKey: FLEET_KEY },
-    },
-    { events },
-  );
-  await admission.start();
-  return admission;
-}
-
 function engineConfiguration() {
   const engine = { slots: 8, cacheTokens: 10_000, copiedTokensPerMs: 0 };
   const services = [{ name: "desk", maxConnections: 100, engine }];
--- a/tests/direct/fixture.ts
+++ b/tests/direct/fixture.ts
@@ -2,6 +2,7 @@
 
 import { setTimeout as delay } from "node:timers/promises";
 import { headerDialect } from "../../platform/header_dialect.ts";
+import { AdmissionProcess } from "../../src/admission/mod.ts";
 import { EventLog } from "../../src/common/event_log.ts";
 import {
   DirectRouter,
@@ -115,6 +116,20 @@
   };
 }
 
+/** Starts an admission process on loopback; the caller closes it. */
+export async function startAdmission(port: number): Promise<AdmissionProcess> {
+  const admission = new AdmissionProcess(
+    {
+      ...{ instance: "side-1", availabilityZone: "a", service: "desk" },
+      ...{ engine: "", listen: { host: "127.0.0.1", port } },
+      fleetKey: FLEET_KEY,
+    },
+    { events },
+  );
+  await admission.start();
+  return admission;
+}
+
 /** Adds a server of the service `desk` to the router's directory. */
 export function announceServer(
   router: DirectRouter,
--- a/tests/direct/server_limit_test.ts
+++ b/tests/direct/server_limit_test.ts
@@ -4,18 +4,17 @@
 import { afterEach, test } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
 import { request } from "undici";
-import { AdmissionProcess } from "../../src/admission/mod.ts";
+import type { AdmissionProcess } from "../../src/admission/mod.ts";
 import { ScriptedServer } from "../../stand_ins/scripted_server.ts";
 import { freePorts } from "../../tools/fleet/ports.ts";
 import { until } from "../../tools/fleet/until.ts";
 import { createConfiguration, createRoute } from "../support/routes.ts";
 import { createServer } from "../support/servers.ts";
 import {
-  events,
-  FLEET_KEY,
   letOtherTasksRun,
   type RouterFixture,
   serverHeaders,
+  startAdmission,
   startRouter,
 } from "./fixture.ts";
 
@@ -68,18 +67,6 @@
   return limited;
 }
 
-async function startAdmission(port: number): Promise<void> {
-  admission = new AdmissionProcess(
-    {
-      ...{ instance: "side-1", availabilityZone: "a", service: "desk" },
-      ...{ engine: "", listen: { host: "127.0.0.1", port } },
-      fleetKey: FLEET_KEY,
-    },
-    { events },
-  );
-  await admission.start();
-}
-
 /** `engine`: the service whose servers have an admission controller. */
 async function startRouters(
   gatePort = 1,
@@ -188,7 +175,7 @@
 test("routers together keep within the limit that an engine names", async () => {
   const limited = await startServer(String(LIMIT_PER_S));
   const [gatePort = 0] = await freePorts(1);
-  await startAdmission(gatePort);
+  admission = await startAdmission(gatePort);
   await startRouters(gatePort);
   await callFor(SETTLING_MS + WINDOW_MS + 1_000);
   assertWithinLimit(limited);
@@ -197,14 +184,14 @@
 test("a limit outlasts the restart of an engine's admission controller", async () => {
   const limited = await startServer(String(LIMIT_PER_S));
   const [gatePort = 0] = await freePorts(1);
-  await startAdmission(gatePort);
+  admission = await startAdmission(gatePort);
   await startRouters(gatePort);
   const calls = callFor(SETTLING_MS + WINDOW_MS * 2);
   await delay(SETTLING_MS + 1_000);
   await admission?.close();
   admission = null;
   await delay(1_000);
-  await startAdmission(gatePort);
+  admission = await startAdmission(gatePort);
   await calls;
   assertWithinLimit(limited);
 });
@@ -212,7 +199,7 @@
 test("routers tell each other of the limit that a plain server names", async () => {
   const limited = await startServer("0");
   const [gatePort = 0] = await freePorts(1);
-  await startAdmission(gatePort);
+  admission = await startAdmission(gatePort);
   await startRouters(gatePort, { engine: "chat" });
   const chat = { id: "c1", service: "chat", host: "127.0.0.1", port: 1 };
   for (const { router } of routers) router.directory.put(createServer(chat));
@@ -229,7 +216,7 @@
 test("a limit that others were told holds when the controller is lost", async () => {
   const limited = await startServer("0");
   const [gatePort = 0] = await freePorts(1);
-  await startAdmission(gatePort);
+  admission = await startAdmission(gatePort);
   await startRouters(gatePort);
   await delay(CONNECT_MS);
   const [first, ...others] = routers;
@@ -246,7 +233,7 @@
 test("requests that don't tell their prompt are counted, too", async () => {
   const limited = await startServer(null);
   const [gatePort = 0] = await freePorts(1);
-  await startAdmission(gatePort);
+  admission = await startAdmission(gatePort);
   await startRouters(gatePort);
   await delay(CONNECT_MS);
   const headers = { "x-token-count": "" };
@@ -260,7 +247,7 @@
 test("callers are refused early while every server is at its limit", async () => {
   await startServer(String(LIMIT_PER_S));
   const [gatePort = 0] = await freePorts(1);
-  await startAdmission(gatePort);
+  admission = await startAdmission(gatePort);
   await startRouters(gatePort);
   await callFor(SETTLING_MS);
   const results = await callFor(3_000);
@@ -278,7 +265,7 @@
   for (const gated of [false, true]) {
     const limited = await startServer("0");
     const [gatePort = 0] = await freePorts(1);
-    if (gated) await startAdmission(gatePort);
+    if (gated) admission = await startAdmission(gatePort);
     await startRouters(gated ? gatePort : 1);
     await callFor(2_000);
     limited.limit = null;
--- a/tests/direct/stream_version_test.ts
+++ b/tests/direct/stream_version_test.ts
@@ -4,7 +4,7 @@
 import { afterEach, test } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
 import { request } from "undici";
-import { AdmissionProcess } from "../../src/admission/mod.ts";
+import type { AdmissionProcess } from "../../src/admission/mod.ts";
 import {
   type ReceivedRequest,
   ScriptedServer,
@@ -13,9 +13,8 @@
 import { createConfiguration, createRoute } from "../support/routes.ts";
 import {
   endStream,
-  events,
-  FLEET_KEY,
   type RouterFixture,
+  startAdmission,
   startRouter,
   startStream,
   writeChunk,
@@ -78,15 +77,7 @@
   );
   for (const server of servers) await server.listen();
   const [gatePort = 0] = await freePorts(1);
-  admission = new AdmissionProcess(
-    {
-      ...{ instance: "side-1", availabilityZone: "a", service: "desk" },
-      ...{ engine: "", listen: { host: "127.0.0.1", port: gatePort } },
-      fleetKey: FLEET_KEY,
-    },
-    { events },
-  );
-  await admission.start();
+  admission = await startAdmission(gatePort);
   const engine = { slots: 64, cacheTokens: 400_000, copiedTokensPerMs: 0 };
   const services = [{ name: "desk", maxConnections: 100, engine }];
   const stream = { streaming: true, repetition: "resumable" } as const;
