Drop the start time from the origins of streams

Cause: reading the change; since a server with another version is enough for doubt, nothing reads the start time that every origin was stored and sent with. Change: the field is gone from the record, the messages and their schema.

--- a/src/direct/request_sender.ts
+++ b/src/direct/request_sender.ts
@@ -352,7 +352,6 @@
   }
 }
 
-function originAt(server: BackendServer): StreamOrigin {
-  const { service, version, id, startedAtMs } = server;
-  return { service, version, server: id, startedAtMs };
+function originAt({ service, version, id }: BackendServer): StreamOrigin {
+  return { service, version, server: id };
 }
--- a/src/direct/stream_origins.ts
+++ b/src/direct/stream_origins.ts
@@ -116,7 +116,7 @@
     if (!directory.isCurrent) return null;
     const version = versions.soleVersion(service, forMs);
     if (version === null) return null;
-    return { service, version, server: "", startedAtMs: 0 };
+    return { service, version, server: "" };
   }
 
   /**
--- a/src/origins/packed_origin.ts
+++ b/src/origins/packed_origin.ts
@@ -3,9 +3,7 @@
 import type { PackedOrigin } from "../protocol/mod.ts";
 import type { OriginRecord } from "./stream_origin.ts";
 
-const NO_ORIGIN = {
-  ...{ service: "", softwareVersion: "", server: "", startedAtMs: 0 },
-};
+const NO_ORIGIN = { service: "", softwareVersion: "", server: "" };
 
 /** Returns the fields of a message; null stands for an unknown origin. */
 export function packOrigin(record: OriginRecord | null): PackedOrigin {
@@ -24,13 +22,10 @@
 
 /** Returns the record in a message; null if the origin is unknown. */
 export function unpackOrigin(packed: PackedOrigin): OriginRecord | null {
-  const { state, service, softwareVersion, server, startedAtMs } = packed;
+  const { state, service, softwareVersion: version, server } = packed;
   switch (state) {
-    case "known": {
-      const version = softwareVersion;
-      const origin = { service, version, server, startedAtMs };
-      return { type: "known", origin };
-    }
+    case "known":
+      return { type: "known", origin: { service, version, server } };
     case "ambiguous":
       return { type: "ambiguous" };
     case "unknown":
--- a/src/origins/stream_origin.ts
+++ b/src/origins/stream_origin.ts
@@ -9,8 +9,6 @@
   /** Version of the server's software. */
   readonly version: string;
   readonly server: string;
-  /** Start of the server, in Unix milliseconds; 0 when it isn't known. */
-  readonly startedAtMs: number;
 }
 
 /** What is known of how a request's stream began. */
--- a/src/protocol/origin_messages.ts
+++ b/src/protocol/origin_messages.ts
@@ -1,14 +1,12 @@
 /** Messages that tell which server began a stream. */
 
-/** Fields of an origin; empty and 0 unless its state is "known". */
+/** Fields of an origin; empty unless its state is "known". */
 export interface PackedOrigin {
   readonly state: "known" | "ambiguous" | "unknown";
   readonly service: string;
   /** Version of the server's software. */
   readonly softwareVersion: string;
   readonly server: string;
-  /** Start of the server, in Unix milliseconds; 0 when it isn't known. */
-  readonly startedAtMs: number;
 }
 
 /** Asks an admission controller to remember how a request's stream began. */
--- a/src/protocol/schema.ts
+++ b/src/protocol/schema.ts
@@ -50,7 +50,6 @@
   service: text,
   softwareVersion: text,
   server: text,
-  startedAtMs: amount,
 };
 
 const fieldsByType: Record<Message["type"], Record<string, object>> = {
--- a/tests/direct/stream_origins_test.ts
+++ b/tests/direct/stream_origins_test.ts
@@ -70,7 +70,7 @@
 
 function originAt(server: "s1" | "s2") {
   const version = server === "s1" ? "v1" : "v2";
-  return { service: "desk", version, server, startedAtMs: 0 };
+  return { service: "desk", version, server };
 }
 
 test("another router finds where a stream began", async () => {
