Use one piece each for eligible servers, limit notices and ranks

Cause: reading the change; which servers may get a request stood in placement and twice in the scheduler, limits of all servers were checked twice per request, the notice of a limit was built twice, two methods of a client sent messages alike, both rendezvous ranks sorted alike, and a relayed limit was searched by a text key in a map keyed by id. Change: isEligible, limitNotice, send, sortByWeight and a look-up by id; teams that wait are gathered only when all servers are limited.

--- a/src/direct/admission_client.ts
+++ b/src/direct/admission_client.ts
@@ -59,6 +59,14 @@
   readonly onChange: () => void;
 }
 
+/** A message for other routers, or about streams at any server. */
+export type SharedMessage =
+  | CrashReport
+  | SoundReport
+  | RequestLimitNotice
+  | OriginNotice
+  | OriginQuery;
+
 /** A request for a permit that has no response yet. */
 interface PendingAsk {
   readonly parameters: PermitParameters;
@@ -124,13 +132,8 @@
     if (configuration !== null) this.#connection?.send(configuration);
   }
 
-  /** Has the other routers told, through the admission controller. */
-  sendReport(report: CrashReport | SoundReport | RequestLimitNotice): void {
-    this.#connection?.send(report);
-  }
-
-  /** Tells or asks the controller how a stream began. */
-  sendOrigin(message: OriginNotice | OriginQuery): void {
+  /** Sends a message that isn't about the engine, unless disconnected. */
+  send(message: SharedMessage): void {
     this.#connection?.send(message);
   }
 
@@ -138,18 +141,11 @@
     return this.#recentUsage.of(team);
   }
 
-  noteRequestLimit(
-    { id, startedAtMs }: BackendServer,
-    { requestsPerS, sentAtMs }: LimitObservation,
-  ): void {
-    const isLimited = requestsPerS !== null;
+  noteRequestLimit(server: BackendServer, observation: LimitObservation): void {
+    const isLimited = observation.requestsPerS !== null;
     const isKnown = isLimited || (this.#report?.requestsPerS ?? null) !== null;
     if (!isKnown && this.#limitNotice === null) return;
-    const ageMs = this.#deps.clock.monotonicMs() - sentAtMs;
-    const notice: RequestLimitNotice = {
-      ...{ type: "request-limit", server: id, startedAtMs },
-      ...{ requestsPerS, ageMs },
-    };
+    const notice = limitNotice(server, observation, this.#deps);
     this.#limitNotice = isLimited ? notice : null;
     this.#connection?.send(notice);
   }
@@ -297,6 +293,19 @@
   }
 }
 
+/** Returns the message that reports what a response has stated. */
+export function limitNotice(
+  { id, startedAtMs }: BackendServer,
+  { requestsPerS, sentAtMs }: LimitObservation,
+  { clock }: { readonly clock: Clock },
+): RequestLimitNotice {
+  const ageMs = clock.monotonicMs() - sentAtMs;
+  return {
+    ...{ type: "request-limit", server: id, startedAtMs },
+    ...{ requestsPerS, ageMs },
+  };
+}
+
 /** Returns what an outcome shows about the health of the server. */
 function permitOutcomeOf(outcome: Outcome): PermitOutcome {
   switch (outcome) {
--- a/src/direct/admission_clients.ts
+++ b/src/direct/admission_clients.ts
@@ -13,7 +13,7 @@
 import type { RouteTable } from "../routing/mod.ts";
 import type { EngineAdmission, LimitObservation } from "../scheduling/mod.ts";
 import { type Identity, Traffic } from "../transport/mod.ts";
-import { AdmissionClient } from "./admission_client.ts";
+import { AdmissionClient, limitNotice } from "./admission_client.ts";
 import type { OriginHolder } from "./origin_queries.ts";
 import type { DirectRouterSettings } from "./settings.ts";
 
@@ -113,7 +113,7 @@
 
   /** Reports to all routers, through every controller. */
   sendReport(report: CrashReport | SoundReport): void {
-    for (const { client } of this.#entries.values()) client.sendReport(report);
+    for (const { client } of this.#entries.values()) client.send(report);
   }
 
   /** Controllers that are connected, as holders of the origins of streams. */
@@ -121,25 +121,20 @@
     const open = [...this.#entries].filter(([, { client }]) => client.isOpen);
     return open.map(([id, { client }]) => ({
       id,
-      send: (message) => client.sendOrigin(message),
+      send: (message) => client.send(message),
     }));
   }
 
   /** Tells the other routers of the limit that a server without one names. */
   shareRequestLimit(
-    { id, startedAtMs }: BackendServer,
-    { requestsPerS, sentAtMs }: LimitObservation,
+    server: BackendServer,
+    observation: LimitObservation,
   ): void {
-    const ageMs = this.#deps.clock.monotonicMs() - sentAtMs;
+    const notice = limitNotice(server, observation, this.#deps);
     const connected = [...this.#entries.values()]
       .map(({ client }) => client)
       .filter((client) => client.connected);
-    for (const client of connected.slice(0, LIMIT_RELAYS)) {
-      client.sendReport({
-        ...{ type: "request-limit", server: id, startedAtMs },
-        ...{ requestsPerS, ageMs },
-      });
-    }
+    for (const client of connected.slice(0, LIMIT_RELAYS)) client.send(notice);
   }
 
   /** Closes all connections. */
--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -4,11 +4,7 @@
 import { systemClock } from "../common/clock.ts";
 import type { EventLog } from "../common/event_log.ts";
 import { sleep } from "../common/promises.ts";
-import {
-  ServerDirectory,
-  startKeyOf,
-  VersionHistory,
-} from "../directory/mod.ts";
+import { ServerDirectory, VersionHistory } from "../directory/mod.ts";
 import { TeamShares, TeamTally } from "../fairness/mod.ts";
 import * as metrics from "../metrics/mod.ts";
 import type { RequestLimitNotice } from "../protocol/mod.ts";
@@ -280,7 +276,7 @@
     const { server, startedAtMs, requestsPerS, ageMs } = notice;
     const sentAtMs = this.#clock.monotonicMs() - ageMs;
     const isChanged = this.#scheduler.noteRequestLimit(
-      startKeyOf({ id: server, startedAtMs }),
+      { id: server, startedAtMs },
       { requestsPerS, sentAtMs },
     );
     if (!isChanged) return;
--- a/src/directory/backend_server.ts
+++ b/src/directory/backend_server.ts
@@ -20,10 +20,7 @@
 }
 
 /** Key of one start of a server. */
-export function startKeyOf({
-  id,
-  startedAtMs,
-}: Pick<BackendServer, "id" | "startedAtMs">): string {
+export function startKeyOf({ id, startedAtMs }: BackendServer): string {
   return `${id} ${startedAtMs}`;
 }
 
--- a/src/scheduling/limit_delay.ts
+++ b/src/scheduling/limit_delay.ts
@@ -23,7 +23,7 @@
   /** Part of a limit that this router may use without permits, 0 to 1. */
   readonly share: number;
   /** Teams of the requests that wait here for a server or a permit. */
-  readonly waitingTeams: ReadonlySet<string>;
+  readonly waitingTeams: () => ReadonlySet<string>;
   /** Requests that wait here and have requested no permit. */
   readonly queued: number;
   /** Recent usage by a team, in prompt tokens. */
@@ -46,7 +46,7 @@
     before += capacity.asks;
   }
   if (requestsPerS === 0) return 0;
-  const mostUsage = Math.max(0, ...[...waitingTeams].map(usageOf));
+  const mostUsage = Math.max(0, ...[...waitingTeams()].map(usageOf));
   const isLast = usageOf(team) >= mostUsage * LAST_USAGE_SHARE;
   const missingSlots = Math.max(0, (isLast ? before : 0) + 1 - freeSlots);
   return (missingSlots / requestsPerS) * MS_PER_SECOND;
--- a/src/scheduling/placement.ts
+++ b/src/scheduling/placement.ts
@@ -84,11 +84,7 @@
   context: PlacementContext,
 ): Choice | null {
   const usable = loads.filter(
-    (load) =>
-      load.server.state === "ready" &&
-      !demand.excluded.has(load.id) &&
-      isVersionAllowed(load, demand) &&
-      load.health.isUsable(context.nowMs),
+    (load) => isEligible(load, demand) && load.health.isUsable(context.nowMs),
   );
   if (demand.prompt === null) return choosePlainServer(usable, context);
   return chooseEngine(
@@ -99,12 +95,13 @@
   );
 }
 
-/** Whether a stream may go on at the server, or hasn't begun. */
-export function isVersionAllowed(
-  { server }: ServerLoad,
-  { version }: Pick<Demand, "version">,
+/** Whether the request may be sent to the server, by load and health apart. */
+export function isEligible(
+  { id, server }: ServerLoad,
+  { excluded, version }: Demand,
 ): boolean {
-  return version === null || server.version === version;
+  const isVersionAllowed = version === null || server.version === version;
+  return server.state === "ready" && !excluded.has(id) && isVersionAllowed;
 }
 
 /**
@@ -133,7 +130,7 @@
   );
   const others =
     unlimited.length > 0
-      ? ownersOf(prompt.parts, unlimited).slice(0, OWNERS_PER_PREFIX)
+      ? ownersOf(prompt.parts, unlimited)
       : rankOnce(demand.requestId, usable).slice(0, LIMITED_CANDIDATES);
   return new Set([...owners, ...others]);
 }
--- a/src/scheduling/rendezvous.ts
+++ b/src/scheduling/rendezvous.ts
@@ -15,10 +15,7 @@
   key: string,
   members: readonly T[],
 ): T[] {
-  return members
-    .map((member) => ({ member, weight: weightOf(key, member.id) }))
-    .sort((a, b) => b.weight - a.weight)
-    .map(({ member }) => member);
+  return sortByWeight(members, (id) => weightOf(key, id));
 }
 
 /**
@@ -30,8 +27,15 @@
   members: readonly T[],
 ): T[] {
   const seed = hash(key, FNV_OFFSET_BASIS);
+  return sortByWeight(members, (id) => mix(hash(id, seed)));
+}
+
+function sortByWeight<T extends { readonly id: string }>(
+  members: readonly T[],
+  weigh: (id: string) => number,
+): T[] {
   return members
-    .map((member) => ({ member, weight: mix(hash(member.id, seed)) }))
+    .map((member) => ({ member, weight: weigh(member.id) }))
     .sort((a, b) => b.weight - a.weight)
     .map(({ member }) => member);
 }
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -1,11 +1,7 @@
 /** Schedules the requests of one router: places, queues or refuses each. */
 
 import type { Clock } from "../common/clock.ts";
-import {
-  type BackendServer,
-  type DirectoryChange,
-  startKeyOf,
-} from "../directory/mod.ts";
+import type { BackendServer, DirectoryChange } from "../directory/mod.ts";
 import * as fairness from "../fairness/mod.ts";
 import type { Engine, RouteTable } from "../routing/mod.ts";
 import type { Demand, Prompt } from "./demand.ts";
@@ -17,7 +13,7 @@
 import {
   type Choice,
   chooseServer,
-  isVersionAllowed,
+  isEligible,
   type PlacementContext,
 } from "./placement.ts";
 import { PrefillRate } from "./prefill_rate.ts";
@@ -220,15 +216,15 @@
 
   /**
    * Applies the limit that a server has named to another router; returns
-   * whether it is new here.
-   *
-   * @param startKey the start of the server, as of `startKeyOf`
+   * whether it is new here. One of an earlier start is ignored.
    */
-  noteRequestLimit(startKey: string, observation: LimitObservation): boolean {
-    const load = [...this.#loads.values()].find(
-      ({ server }) => startKeyOf(server) === startKey,
-    );
-    return load?.requestLimit.observe(observation) ?? false;
+  noteRequestLimit(
+    { id, startedAtMs }: Pick<BackendServer, "id" | "startedAtMs">,
+    observation: LimitObservation,
+  ): boolean {
+    const load = this.#loads.get(id);
+    if (load?.server.startedAtMs !== startedAtMs) return false;
+    return load.requestLimit.observe(observation);
   }
 
   /** Places every queued request that a server has capacity for now. */
@@ -508,41 +504,39 @@
 
   /** Servers that the request may be sent to. */
   #countReady(demand: Demand): number {
-    const loads = this.#loadsOf(demand.service).filter(
-      ({ server }) => server.state === "ready",
-    );
-    if (demand.version === null) return loads.length;
     // Another version may not go on with the stream, now or later.
-    return loads.filter(
-      (load) => isVersionAllowed(load, demand) && !demand.excluded.has(load.id),
+    if (demand.version !== null) return this.#eligibleLoads(demand).length;
+    return this.#loadsOf(demand.service).filter(
+      ({ server }) => server.state === "ready",
     ).length;
   }
 
   /** Expected wait for limits, if all servers for the request name one. */
   #limitDelayMs(demand: Demand): number {
-    const { service, excluded } = demand;
-    const loads = this.#loadsOf(service).filter(
-      (load) =>
-        load.server.state === "ready" &&
-        !excluded.has(load.id) &&
-        isVersionAllowed(load, demand),
-    );
-    const share = this.#routerShare;
-    // Most of the time no server names a limit, and the rest isn't needed.
-    const isLimited = loads.every(
-      (load) => load.limitedCapacity(share) !== null,
-    );
-    if (!isLimited) return 0;
-    const waitingTeams = new Set<string>();
-    for (const { demand: other } of this.#pending)
-      if (other.service === service) waitingTeams.add(other.team);
+    const { service } = demand;
+    const loads = this.#eligibleLoads(demand);
     const queue = this.#queueOf(service);
     return limitDelayMs(demand, {
-      ...{ loads, share, waitingTeams, queued: queue.size },
+      ...{ loads, share: this.#routerShare, queued: queue.size },
+      waitingTeams: () => this.#waitingTeams(service),
       usageOf: (team) => this.#usageAt(loads, team) ?? queue.usageOf(team),
     });
   }
 
+  /** Teams with requests that wait for a server or a permit. */
+  #waitingTeams(service: string): ReadonlySet<string> {
+    const teams = new Set<string>();
+    for (const { demand } of this.#pending)
+      if (demand.service === service) teams.add(demand.team);
+    return teams;
+  }
+
+  #eligibleLoads(demand: Demand): ServerLoad[] {
+    return this.#loadsOf(demand.service).filter((load) =>
+      isEligible(load, demand),
+    );
+  }
+
   #createLoad(server: BackendServer): ServerLoad {
     const engine = this.#table?.service(server.service)?.engine ?? null;
     const rate = this.#prefillRateOf(server, engine);
--- a/tests/scheduling/limit_delay_test.ts
+++ b/tests/scheduling/limit_delay_test.ts
@@ -37,7 +37,8 @@
   share = 1,
 }: ContextOptions): LimitDelayContext {
   return {
-    ...{ loads, share, queued, waitingTeams: new Set(Object.keys(usage)) },
+    ...{ loads, share, queued },
+    waitingTeams: () => new Set(Object.keys(usage)),
     usageOf: (team) => usage[team] ?? 0,
   };
 }
