--- a/src/admission/admission_process.ts
+++ b/src/admission/admission_process.ts
@@ -150,7 +150,7 @@
 
   #logLimit(router: string): void {
     const { requestsPerS, asks } = this.#controller.load;
-    this.#events.info("server-limit", { requestsPerS, router, asks });
+    this.#events.info("request-limit", { requestsPerS, router, asks });
   }
 
   /** Routers have no connections to each other, so reports are relayed here. */
--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -280,7 +280,7 @@
       { requestsPerS, sentAtMs },
     );
     if (!isChanged) return;
-    this.#events.info("server-limit", { server, requestsPerS, request: null });
+    this.#events.info("request-limit", { server, requestsPerS, request: null });
     this.#scheduler.dispatchAll();
   }
 
--- a/src/direct/request_sender.ts
+++ b/src/direct/request_sender.ts
@@ -295,7 +295,7 @@
     if (!placement.noteRequestLimit(requestsPerS)) return;
     const { id: request } = this.#options.record.logFields;
     const server = placement.server.id;
-    this.#deps.events.info("server-limit", { server, requestsPerS, request });
+    this.#deps.events.info("request-limit", { server, requestsPerS, request });
   }
 
   #recordData(placement: Placement, progress: ResponseProgress): void {
