Take no response without an id for the answer to a later request

Cause: a server that wrote an earlier refusal once more on a kept connection, without its request's id, made the router tell a caller that its request hadn't run, or send it to a second server, though it ran (REFUSED, TWICE); a copy of an answer reached the next caller (MIXED). A response without an id counted as that of the request that was due. Change: such a response counts only on a connection that has carried no earlier request; that connection is then not used again. Requests without an id get a new connection. Ruled out: requiring the id always, since a server may refuse before it has read one, or never name requests.

--- a/src/direct/backend_connection.ts
+++ b/src/direct/backend_connection.ts
@@ -39,6 +39,8 @@
   readonly #overheadLimit: OverheadLimit;
   #error: Error | null = null;
   #closed = false;
+  #sentRequests = 0;
+  #isRetired = false;
 
   private constructor(origin: string, socket: Socket) {
     this.#socket = socket;
@@ -98,7 +100,13 @@
 
   /** Whether it can carry another request. */
   get usable(): boolean {
-    return !this.#closed && !this.#socket.destroyed && this.#socket.writable;
+    const isOpen = !this.#closed && !this.#socket.destroyed;
+    return isOpen && this.#socket.writable && !this.#isRetired;
+  }
+
+  /** Whether it has carried no request before the one that was sent last. */
+  get isFirstUse(): boolean {
+    return this.#sentRequests <= 1;
   }
 
   /** The socket's error; null if there was none. */
@@ -106,9 +114,15 @@
     return this.#error;
   }
 
+  /** Makes it carry no further request. */
+  retire(): void {
+    this.#isRetired = true;
+  }
+
   /** Sends a request; the handler receives the response. */
   send(request: BackendRequest, handler: Dispatcher.DispatchHandler): void {
     const { method, path, headers, body } = request;
+    this.#sentRequests += 1;
     this.#overheadLimit.restart();
     this.#client.dispatch(
       {
--- a/src/direct/relay.ts
+++ b/src/direct/relay.ts
@@ -174,6 +174,8 @@
       return;
     }
     this.#options.onHead(terms);
+    // What comes next couldn't be told from a copy of this response.
+    if (terms.requestId === null) this.#connection.retire();
     this.#status = status;
     this.#headers = headers;
     this.#disposition = this.#dispositionOf(status, terms);
@@ -198,7 +200,11 @@
     terms: ResponseTerms,
   ): string | null {
     const { requestId } = this.#options;
-    if (terms.requestId !== null && terms.requestId !== requestId) {
+    if (terms.requestId === null) {
+      // It may be a copy of the response to an earlier request.
+      if (!this.#connection.isFirstUse)
+        return "The response on a reused connection names no request";
+    } else if (terms.requestId !== requestId) {
       return "The server answered another request";
     }
     if (terms.notRun) return null;
--- a/src/direct/request_sender.ts
+++ b/src/direct/request_sender.ts
@@ -223,7 +223,7 @@
     this.#responses.set(placement, progress);
     return new ServerSend({
       pool: this.#deps.pool,
-      ...{ placement, cancelSignal },
+      ...{ placement, cancelSignal, isNamed: admitted.terms.id !== null },
       isCancelled: () => response.isDisconnected,
       request: () => {
         this.#recordSend(placement.server, role);
--- a/src/direct/server_send.ts
+++ b/src/direct/server_send.ts
@@ -22,6 +22,11 @@
 export interface ServerSendOptions {
   readonly pool: ConnectionPool;
   readonly placement: Placement;
+  /**
+   * Whether the request has an id. The response to one without is only taken
+   * from a connection that has carried no other.
+   */
+  readonly isNamed: boolean;
   /** Aborted when the caller disconnects or its deadline passes. */
   readonly cancelSignal: AbortSignal;
   /** Whether the caller has disconnected, even if the signal hasn't fired. */
@@ -61,9 +66,9 @@
   }
 
   async #run(): Promise<SendEnd> {
-    const { pool, placement } = this.#options;
+    const { pool, placement, isNamed } = this.#options;
     const { server } = placement;
-    const acquired = await pool.acquire(server);
+    const acquired = await (isNamed ? pool.acquire(server) : pool.open(server));
     // After a stall of the event loop, the caller's disconnect may be read in
     // the same turn: let it be handled first, so that nothing is sent for it.
     await nextTurn();
