Believe a refusal whose body is cut off

Cause: a server refused a request as not run and reset the connection within the refusal's body; the router took that for a broken response, so a non-idempotent request got 502 though nothing had run. Change: the head decides. Measured: "a refusal whose body is cut off still says that nothing ran" failed before, passes.

--- a/src/direct/relay.ts
+++ b/src/direct/relay.ts
@@ -127,7 +127,7 @@
           this.#onHeaders(status, headers),
         onResponseData: (controller, chunk) => this.#onData(controller, chunk),
         onResponseEnd: () => this.#onEnd(),
-        onResponseError: (_controller, error) => this.#break(error.message),
+        onResponseError: (_controller, error) => this.#onError(error),
       });
     });
   }
@@ -313,6 +313,12 @@
     this.#finish(status);
   }
 
+  #onError(error: Error): void {
+    // The head has said that nothing ran, whatever becomes of the body.
+    if (this.#disposition === "not-run") this.#stopDiscarding();
+    else this.#break(error.message);
+  }
+
   /** Closes the connection instead of reading a discarded body to its end. */
   #stopDiscarding(): void {
     if (this.#disposition === "forward") return;
--- a/tests/direct/exchange_test.ts
+++ b/tests/direct/exchange_test.ts
@@ -160,6 +160,22 @@
   assert.equal(requestCount(), 2);
 });
 
+test("a refusal whose body is cut off still says that nothing ran", async () => {
+  const refuseWithCutBody: Script = (request) => {
+    const head = `HTTP/1.1 503 Full\r\n${serverHeaders(request)}`;
+    const terms = "X-Not-Executed: 1\r\nContent-Length: 9\r\n\r\n";
+    request.socket.write(`${head}${terms}half`);
+    setTimeout(() => request.socket.resetAndDestroy(), 20);
+  };
+  const configuration = withRoute({
+    ...{ repetition: "non-idempotent", maxAttempts: 2 },
+  });
+  const script = firstThen(refuseWithCutBody, respondCompletely);
+  await start({ configuration, scripts: [script, script] });
+  assert.equal((await call({ body: "book it" })).status, 200);
+  assert.equal(requestCount(), 2);
+});
+
 test("a request that no server ran gets 503 with Retry-After", async () => {
   await start({ scripts: [refuseAsFull] });
   const response = await call();
