Count a server that sends only parts of events as silent

Cause: a stalled server that sends a byte of an event now and then restarted the silence timer each time, so that no other server was tried and the stream lasted until its caller gave up. Change: for streams that can be resumed, only a complete event counts. A slow but sound stream isn't cut: another server takes over only when it has an event first. Measured: "another server resumes the stream of one that sends parts of an event" failed before, passes; "a stream with long pauses isn't cut while another server is free" passes before and after.

--- a/src/direct/relay.ts
+++ b/src/direct/relay.ts
@@ -232,8 +232,9 @@
       if (this.#discardedBytes > DISCARD_LIMIT_BYTES) this.#stopDiscarding();
       return;
     }
-    this.#noteActivity();
     this.#options.onData();
+    // A server that sends parts of an event now and then is as good as silent.
+    if (this.#options.splitter === null) this.#noteActivity();
     if (this.#buffered === null) {
       this.#forward(controller, chunk);
       return;
@@ -256,6 +257,7 @@
       return;
     }
     if (bytes.length === 0) return;
+    this.#noteActivity();
     this.#startResponse();
     if (this.#response.write(bytes)) return;
     controller.pause();
--- a/tests/direct/silent_server_test.ts
+++ b/tests/direct/silent_server_test.ts
@@ -24,6 +24,7 @@
 const OBJECTIVE_MS = 200;
 /** Several times the silence after which another server is looked for. */
 const SILENCE_MS = OBJECTIVE_MS * 5;
+const DEADLINE_MS = 4_000;
 const FIRST_EVENT = "id: 1\ndata: a\n\n";
 const SECOND_EVENT = "id: 2\ndata: b\n\n";
 
@@ -51,7 +52,7 @@
     headers: {
       host: "desk.example",
       "x-attempt-id": "id",
-      "x-deadline-ms": "4000",
+      "x-deadline-ms": String(DEADLINE_MS),
     },
   });
   const text = await response.body.text();
@@ -161,6 +162,36 @@
   });
 });
 
+test("another server resumes the stream of one that sends parts of an event", async () => {
+  const drip = (received: ReceivedRequest) => {
+    startOnly(received);
+    const timer = setInterval(() => {
+      if (received.socket.destroyed) clearInterval(timer);
+      else writeChunk(received, "d");
+    }, OBJECTIVE_MS / 4);
+  };
+  const script = firstThen(drip, endAtOnce);
+  await start([script, script]);
+  const startedMs = performance.now();
+  assert.deepEqual(await call(), WHOLE);
+  assert.equal(arrivals().length, 2);
+  assert.ok(performance.now() - startedMs < DEADLINE_MS / 2);
+});
+
+test("a stream with long pauses isn't cut while another server is free", async () => {
+  const goOnSlowly = async (received: ReceivedRequest) => {
+    startStream(received, FIRST_EVENT);
+    await delay(OBJECTIVE_MS * 2);
+    writeChunk(received, "id: 2\nda");
+    await delay(OBJECTIVE_MS * 2);
+    writeChunk(received, "ta: b\n\n");
+    endStream(received);
+  };
+  const script = firstThen(goOnSlowly, neverRespond);
+  await start([script, script]);
+  assert.deepEqual(await call(), WHOLE);
+});
+
 test("another server answers the lookup of one that stays silent", async () => {
   const script = firstThen(neverRespond, respondCompletely);
   await start([script, script], { streaming: false });
