--- a/src/direct/caller_response.ts
+++ b/src/direct/caller_response.ts
@@ -21,15 +21,32 @@
   return headers["content-length"] === undefined ? "until-close" : "length";
 }
 
+/** What a response depends on besides its request. */
+export interface CallerResponseOptions {
+  /**
+   * Time for which the caller's connection may be idle after the response, in
+   * ms; null if it isn't announced.
+   */
+  readonly idleTimeoutMs: () => number | null;
+}
+
+const MS_PER_SECOND = 1_000;
+
 /** Writes one response and detects a disconnect of its caller. */
 export class CallerResponse {
   readonly #response: ServerResponse;
   readonly #socket: Socket;
+  readonly #options: CallerResponseOptions;
   readonly #disconnect = new AbortController();
   #status: number | null = null;
 
-  constructor(request: IncomingMessage, response: ServerResponse) {
+  constructor(
+    request: IncomingMessage,
+    response: ServerResponse,
+    options: CallerResponseOptions,
+  ) {
     this.#response = response;
+    this.#options = options;
     const { socket } = request;
     this.#socket = socket;
     const disconnect = () => this.#disconnect.abort();
@@ -89,6 +106,7 @@
       response.useChunkedEncodingByDefault = false;
       response.shouldKeepAlive = false;
     }
+    this.#announceIdleTimeout();
     response.flushHeaders();
   }
 
@@ -121,6 +139,7 @@
     }
     this.#status = failure.status;
     const body = bodyOf(failure);
+    this.#announceIdleTimeout();
     this.#response.writeHead(failure.status, {
       "content-type": "application/json",
       "content-length": Buffer.byteLength(body),
@@ -130,4 +149,12 @@
     });
     this.#response.end(body);
   }
+
+  /** Node announces the limit that held when the request arrived. */
+  #announceIdleTimeout(): void {
+    const idleTimeoutMs = this.#options.idleTimeoutMs();
+    if (idleTimeoutMs === null || !this.#response.shouldKeepAlive) return;
+    const seconds = Math.floor(idleTimeoutMs / MS_PER_SECOND);
+    this.#response.setHeader("Keep-Alive", `timeout=${seconds}`);
+  }
 }
--- a/src/direct/exchange.ts
+++ b/src/direct/exchange.ts
@@ -78,7 +78,10 @@
   ) {
     this.#deps = deps;
     this.#request = request;
-    this.#response = new CallerResponse(request, response);
+    const { configuration } = deps;
+    this.#response = new CallerResponse(request, response, {
+      idleTimeoutMs: () => configuration.table?.limits.idleTimeoutMs ?? null,
+    });
     this.#record = new RequestRecord(deps);
   }
 
--- a/tests/direct/relay_test.ts
+++ b/tests/direct/relay_test.ts
@@ -19,7 +19,9 @@
 
 function createRelay(connection: BackendConnection): Relay {
   const request = new IncomingMessage(new Socket());
-  const response = new CallerResponse(request, new ServerResponse(request));
+  const response = new CallerResponse(request, new ServerResponse(request), {
+    idleTimeoutMs: () => null,
+  });
   return new Relay(response, connection, {
     ...{ requestId: "id-1", dialect: headerDialect, splitter: null },
     ...{ withholdsFailures: true, streaming: false, silenceTimeoutMs: null },
