Show that a planned stop under load cuts no accepted request

Cause: other operators reported it; nothing here played it on the direct path. Change: a test with a request each 5 ms, on connections of their own, from before SIGTERM until the router has ended: each that a server got is answered, others are refused as not run, or weren't read.

--- a/tests/direct/shutdown_test.ts
+++ b/tests/direct/shutdown_test.ts
@@ -5,13 +5,17 @@
 import { Agent, request } from "undici";
 import type { ReceivedRequest } from "../../stand_ins/scripted_server.ts";
 import { until } from "../../tools/fleet/until.ts";
+import { createConfiguration, createRoute } from "../support/routes.ts";
 import {
   createRouterFixture,
   type RouterFixture,
   respondCompletely,
 } from "./fixture.ts";
+import { callRaw } from "./raw_caller.ts";
 
 const TIMEOUT_MS = 10_000;
+/** Interval of the requests of a load, each on a connection of its own. */
+const LOAD_INTERVAL_MS = 5;
 
 async function call(fixture: RouterFixture, dispatcher: Agent) {
   const response = await request(`http://127.0.0.1:${fixture.port}/lookup/1`, {
@@ -51,6 +55,40 @@
   await agent.destroy();
 });
 
+test("requests accepted around a planned stop under load are answered", async () => {
+  const fixture = await createRouterFixture({
+    graceSeconds: 4,
+    scripts: [1, 2, 3, 4].map(() => (one: ReceivedRequest) => {
+      setTimeout(() => respondCompletely(one), 30);
+    }),
+    configuration: createConfiguration({
+      routes: [createRoute({ repetition: "non-idempotent" })],
+    }),
+  });
+  const callers: Array<ReturnType<typeof callRaw>> = [];
+  const headers = { connection: "close" };
+  const load = setInterval(() => {
+    callers.push(callRaw(fixture.port, { headers }));
+  }, LOAD_INTERVAL_MS);
+  await until("the load runs", TIMEOUT_MS, {
+    holds: () => callers.length > 50,
+  });
+  await fixture.router.close();
+  clearInterval(load);
+  const responses = await Promise.all(callers);
+  await fixture.close();
+  const ended = new Map<string, number>();
+  for (const { text } of responses) {
+    const end = text.slice(9, 12);
+    ended.set(end, (ended.get(end) ?? 0) + 1);
+    // No byte: the router had stopped listening, or hadn't read the request.
+    assert.match(text, /^$|200 OK[\s\S]*fine$|503[\s\S]*"not-run"/);
+  }
+  assert.ok((ended.get("200") ?? 0) > 50, JSON.stringify([...ended]));
+  const sent = fixture.servers.flatMap(({ requests }) => requests).length;
+  assert.equal(sent, ended.get("200"), "a request that a server got was cut");
+});
+
 test("a kept-alive connection is served until listening stops", async () => {
   const fixture = await createRouterFixture({ graceSeconds: 4 });
   const agent = new Agent({ connections: 1 });
