Copy prefixes of busy owners to further engines

Cause: a prompt went to the two owners of its prefix only, however long their backlogs were and whatever the other engines did. With few engines each owns many prefixes and loads are even; with many, a prefix that a tenth of the requests share is more than its two owners can take, and callers are refused (no-room) while other engines are idle. Change: while both owners' backlogs take over 0.3 of the objective, the next 16 engines by rank are considered, too, if they have the prefix or can copy it.

--- a/src/scheduling/placement.ts
+++ b/src/scheduling/placement.ts
@@ -45,10 +45,15 @@
 /** Lower bound that keeps the cost of a stalled engine finite. */
 const MIN_TOKENS_PER_MS = 0.01;
 /**
- * Share of its objective that a request may wait for the limits of its owners
- * before other engines are considered, too.
+ * Share of its objective that a request may wait for its owners, by their limits
+ * or their prefill backlogs, before other engines are considered, too.
  */
-const MAX_LIMIT_DELAY_SHARE = 0.3;
+const MAX_OWNER_DELAY_SHARE = 0.3;
+/**
+ * Engines that are considered besides the owners when these are busy: the next
+ * ones by rank, so that copies of a prefix stay on few engines.
+ */
+const SPARE_OWNERS = 16;
 /**
  * Engines that are considered besides the owners where all engines name limits.
  * Each request has its own: all routers would ask the one with the shortest
@@ -105,8 +110,8 @@
 }
 
 /**
- * Returns the owners and, if they are at their limits, engines that the request
- * may go to instead: its owners among those without a limit, or any.
+ * Returns the owners and, if they are busy or at their limits, engines that the
+ * request may go to instead.
  */
 function candidatesOf(
   owners: readonly ServerLoad[],
@@ -122,9 +127,16 @@
     readonly context: PlacementContext;
   },
 ): ReadonlySet<ServerLoad> {
-  const maxDelayMs = demand.objectiveMs * MAX_LIMIT_DELAY_SHARE;
+  const maxDelayMs = demand.objectiveMs * MAX_OWNER_DELAY_SHARE;
   const isAtLimit = (load: ServerLoad) => load.limitDelayMs(share) > maxDelayMs;
-  if (!owners.every(isAtLimit)) return new Set(owners);
+  const isBusy = (load: ServerLoad) => {
+    const { tokens, tokensPerMs } = backlogAt(load, share);
+    return tokens > tokensPerMs * maxDelayMs;
+  };
+  if (!owners.every((load) => isAtLimit(load) || isBusy(load)))
+    return new Set(owners);
+  if (!owners.every(isAtLimit))
+    return new Set([...owners, ...spareOwnersOf(prompt, usable, owners)]);
   const unlimited = usable.filter(
     (load) => load.limitedCapacity(share) === null,
   );
@@ -230,6 +242,29 @@
   return rank(lastShared.id, usable).slice(0, OWNERS_PER_PREFIX);
 }
 
+/**
+ * Engines that can serve a prompt while its owners are busy: those that have its
+ * prefix or can copy it. Prefilling it once more would make all of them busier.
+ */
+function spareOwnersOf(
+  prompt: Prompt,
+  usable: readonly ServerLoad[],
+  owners: readonly ServerLoad[],
+): readonly ServerLoad[] {
+  const shared = sharedParts(prompt.parts);
+  const lastShared = shared.at(-1);
+  if (lastShared === undefined) return [];
+  const prefixTokens = shared.reduce((sum, { tokens }) => sum + tokens, 0);
+  const end = OWNERS_PER_PREFIX + SPARE_OWNERS;
+  return rank(lastShared.id, usable)
+    .slice(OWNERS_PER_PREFIX, end)
+    .filter((load) => {
+      const { copiedTokens } = copySourceFor(load, prompt, owners);
+      const cachedTokens = load.predictedCache.cachedTokens(prompt);
+      return Math.max(copiedTokens, cachedTokens) >= prefixTokens;
+    });
+}
+
 /** Prompt tokens that aren't expected in an engine's cache. */
 function missingTokensAt(
   load: ServerLoad,
--- a/tests/scheduling/limited_engines_test.ts
+++ b/tests/scheduling/limited_engines_test.ts
@@ -11,19 +11,13 @@
 } from "../../src/admission/mod.ts";
 import type { PermitRequest } from "../../src/protocol/mod.ts";
 import type { Demand } from "../../src/scheduling/demand.ts";
-import type {
-  EngineAdmission,
-  EngineReport,
-} from "../../src/scheduling/engine_admission.ts";
 import { chooseServer } from "../../src/scheduling/placement.ts";
-import { PrefillRate } from "../../src/scheduling/prefill_rate.ts";
-import { ServerLoad } from "../../src/scheduling/server_load.ts";
 import {
   createManualClock,
   type ManualClock,
 } from "../support/manual_clock.ts";
-import { createServer } from "../support/servers.ts";
 import { createDemand, createPrompt } from "./demands.ts";
+import { createEngineView } from "./engine_view.ts";
 
 const ENGINES = 8;
 const ROUTERS = 6;
@@ -39,12 +33,6 @@
 const PREFIXES = 20;
 const ENGINE = { slots: 64, cacheTokens: 400_000, copiedTokensPerMs: 2_500 };
 
-/** A router's view of one engine. */
-interface View {
-  readonly load: ServerLoad;
-  report: EngineReport;
-}
-
 /** A request until it is permitted or refused. */
 class WaitingRequest implements PermitReceiver {
   readonly demand: Demand;
@@ -89,35 +77,16 @@
   });
 }
 
-function createView(
-  clock: ManualClock,
-  controller: AdmissionController,
-  id: string,
-): View {
-  const report = () => ({ ...controller.load, routers: ROUTERS });
-  const view = { report: report() };
-  const admission: EngineAdmission = {
-    connected: true,
-    get report() {
-      return view.report;
-    },
-    requestPermit: () => () => {},
-    usageOf: () => 0,
-    noteRequestLimit: () => {},
-  };
-  const server = createServer({ id, service: "chat" });
-  const rate = new PrefillRate(400);
-  const load = new ServerLoad(server, ENGINE, { clock, rate, admission });
-  return Object.assign(view, { load });
-}
-
 /** Callers, routers and engines; `play` them once. */
 class Fleet {
   readonly #clock = createManualClock();
   readonly #controllers = createControllers(this.#clock);
   readonly #viewsByRouter = Array.from({ length: ROUTERS }, () =>
     this.#controllers.map((controller, index) =>
-      createView(this.#clock, controller, `e${index}`),
+      createEngineView(controller, {
+        ...{ clock: this.#clock, id: `e${index}`, engine: ENGINE },
+        ...{ tokensPerMs: 400, routers: ROUTERS },
+      }),
     ),
   );
   readonly #served = new Map<string, number>();
