Bundle the platform's programs, and compile schemas when they are used

Change: esbuild makes one file of each program at the deploy build, and a schema is compiled at its first use. Ruled out: importing parts of undici by internal paths. The end-to-end test runs the bundles.

--- a/src/common/schema.ts
+++ b/src/common/schema.ts
@@ -17,18 +17,22 @@
   validate: (_schema: boolean, data: unknown) => data instanceof Uint8Array,
 });
 
-/** A compiled JSON schema for values of type `T`. */
+/** A JSON schema for values of type `T`; compiled when it is first used. */
 export class Schema<T> {
-  readonly #validate: ValidateFunction<T>;
+  readonly #definition: object;
+  #compiled: ValidateFunction<T> | null = null;
 
   constructor(definition: object) {
-    this.#validate = ajv.compile<T>(definition);
+    this.#definition = definition;
   }
 
   /** Returns the value as `T`, or all validation errors. */
   check(value: unknown): Result<T, Finding[]> {
-    if (this.#validate(value)) return ok(value);
-    return err((this.#validate.errors ?? []).map(findingOf));
+    // A process uses few of its schemas, and compiling delays its start.
+    this.#compiled ??= ajv.compile<T>(this.#definition);
+    const validate = this.#compiled;
+    if (validate(value)) return ok(value);
+    return err((validate.errors ?? []).map(findingOf));
   }
 }
 
--- a/tests/on_platform/end_to_end_test.ts
+++ b/tests/on_platform/end_to_end_test.ts
@@ -4,13 +4,14 @@
  */
 
 import assert from "node:assert/strict";
-import { type ChildProcess, spawn } from "node:child_process";
+import { type ChildProcess, execFile, spawn } from "node:child_process";
 import { once } from "node:events";
 import { mkdtemp, readFile, rm, writeFile } from "node:fs/promises";
 import type { Server } from "node:http";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { after, before, test } from "node:test";
+import { promisify } from "node:util";
 import { request } from "undici";
 import { portOf, serve } from "../../stand_ins/http.ts";
 import { ScriptedServer } from "../../stand_ins/scripted_server.ts";
@@ -82,7 +83,7 @@
 async function start(role: string, settings: string): Promise<Program> {
   const path = join(folder, `${role}-${started.length}.json`);
   await writeFile(path, settings);
-  const script = join(ROOT, "dist", "platform", `${role}_main.js`);
+  const script = join(ROOT, "dist", "bundle", `${role}_main.js`);
   const child = spawn(process.execPath, [script], {
     env: { ...process.env, ORIOLEROUTER_BOOT: path },
     stdio: ["ignore", "pipe", "inherit"],
@@ -119,6 +120,9 @@
 }
 
 before(async () => {
+  // As the platform starts them.
+  const bundle = join(ROOT, "dist", "tools", "bundle.js");
+  await promisify(execFile)(process.execPath, [bundle, join(ROOT, "dist")]);
   folder = await mkdtemp(join(tmpdir(), "end-to-end-"));
   ports = await freePorts(3);
   storeServer = await serve((...args) => store.handle(...args), 0);
