Send callers to other routers before a router's API keys expire

Change: it isn't ready from 0.8 of that age on, if any route needs a key, and such refusals close the connection. If no router of a zone is ready, the load balancer uses all, as before. Ruled out: being ready until keys have expired, as the load balancer needs two probes.

--- a/src/direct/configuration_state.ts
+++ b/src/direct/configuration_state.ts
@@ -5,6 +5,12 @@
 import { elapsedMs, type Moment } from "../common/moment.ts";
 import { type FleetConfiguration, RouteTable } from "../routing/mod.ts";
 
+/**
+ * Share of their maximum age from which on API keys count as expiring. The load
+ * balancer needs two probes, a second apart, to send callers elsewhere.
+ */
+const EXPIRING_KEYS_SHARE = 0.8;
+
 /** The newest known configuration, and when it was last confirmed current. */
 export class ConfigurationState {
   readonly #clock: Clock;
@@ -43,6 +49,17 @@
     return this.ageMs <= this.#keysMaxAgeMs;
   }
 
+  /**
+   * Whether requests with API keys will soon have to be refused, unless the
+   * configuration is confirmed before.
+   */
+  get keysAreExpiring(): boolean {
+    const requiresKeys = this.#table?.requiresKeys ?? false;
+    return (
+      requiresKeys && this.ageMs > this.#keysMaxAgeMs * EXPIRING_KEYS_SHARE
+    );
+  }
+
   /** Sets how long API keys are trusted after a confirmation. */
   setKeysMaxAge(keysMaxAgeMs: number): void {
     this.#keysMaxAgeMs = keysMaxAgeMs;
--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -286,6 +286,8 @@
 
   #isReady(): boolean {
     if (this.#closing || this.configuration.table === null) return false;
+    // Other routers may still reach the store.
+    if (this.configuration.keysAreExpiring) return false;
     return this.#callerServer.isReady;
   }
 }
--- a/src/direct/exchange.ts
+++ b/src/direct/exchange.ts
@@ -36,6 +36,11 @@
 
 /** Retry-After of a quarantined request; servers may be fixed by then. */
 const QUARANTINE_RETRY_AFTER_MS = 60_000;
+/**
+ * Refusals that last until this router reaches the store again; on a new
+ * connection, the caller gets another router.
+ */
+const STORE_REFUSALS = new Set(["no-configuration", "keys-too-old"]);
 /** Failed connection attempts after which a request is given up. */
 const CONNECT_FAILURE_LIMIT = 8;
 
@@ -337,6 +342,7 @@
 
   #fail(failure: Failure): void {
     this.#record.end = failure.code;
+    if (STORE_REFUSALS.has(failure.code)) this.#response.disableKeepAlive();
     this.#response.fail(failure, this.#deps.dialect);
   }
 }
--- a/src/routing/route_table.ts
+++ b/src/routing/route_table.ts
@@ -11,6 +11,8 @@
 export class RouteTable {
   readonly version: number;
   readonly limits: CallerLimits;
+  /** Whether any route takes only requests with an API key. */
+  readonly requiresKeys: boolean;
   readonly #routesByHost = new Map<string, Route[]>();
   readonly #teamsByKey = new Map<string, string>();
   readonly #services = new Map<string, Service>();
@@ -19,6 +21,7 @@
     const { version, routes, services, teams, limits } = configuration;
     this.version = version;
     this.limits = limits;
+    this.requiresKeys = routes.some(({ requiresKey }) => requiresKey);
     for (const route of routes) {
       const hostRoutes = this.#routesByHost.get(route.host) ?? [];
       this.#routesByHost.set(route.host, [...hostRoutes, route]);
--- a/tests/direct/fixture.ts
+++ b/tests/direct/fixture.ts
@@ -46,6 +46,10 @@
   readonly retries?: DirectRouterSettings["retries"];
   /** Port of the admission processes; none listens on the default. */
   readonly gatePort?: number;
+  /** Time after which API keys need a new confirmation; 5 s by default. */
+  readonly revocationMs?: number;
+  /** How often the configuration is confirmed, in ms; 100 by default. */
+  readonly confirmIntervalMs?: number;
   /** Software version of each server; `v1` by default. */
   readonly versions?: readonly string[];
 }
@@ -78,6 +82,8 @@
     graceSeconds = 0.2,
     gatePort = 1,
     versions = [],
+    revocationMs = 5_000,
+    confirmIntervalMs = 100,
     retries = { ratio: 1, windowSeconds: 10, slack: 100 },
   }: Omit<RouterFixtureOptions, "scripts">,
 ): Promise<RouterFixture> {
@@ -92,7 +98,7 @@
       gatePort,
       fleetKey: FLEET_KEY,
       graceSeconds,
-      revocationMs: 5_000,
+      revocationMs,
       noticeMs: 3_000,
       retries,
     },
@@ -105,7 +111,10 @@
     announceServer(router, `s${index + 1}`, server.port, options);
   }
   await router.start();
-  const confirmTimer = setInterval(() => confirmConfiguration(router), 100);
+  const confirmTimer = setInterval(
+    () => confirmConfiguration(router),
+    confirmIntervalMs,
+  );
   confirmConfiguration(router);
   return {
     ...{ router, servers, port, readyPort },
