Take back spare owners, and tell routers how soon engines evict

The played load shows why: each router knows only its own requests, so at 24 routers it expects prefixes in caches that the others' requests have evicted long ago, and copies bring nothing. Change: placing is as it was, and engines' admission controllers report the time after which an unused part is evicted; routers expect no older part in a cache. The two tests of a prefix that a quarter or half of the requests share fail again (KNOWN-RED).

--- a/src/admission/controller.ts
+++ b/src/admission/controller.ts
@@ -63,6 +63,8 @@
   readonly requestsPerS: number | null;
   /** Requests that the limit allows at once; 0 without a limit. */
   readonly freeSlots: number;
+  /** Time after which an unused part of a prompt is evicted; null if none was. */
+  readonly cacheLifetimeMs: number | null;
 }
 
 /**
@@ -110,9 +112,15 @@
       ...this.#inFlight.work,
       ...{ asks: this.#queue.size, askedTokens, tokensPerMs, failureShare },
       ...{ requestsPerS, freeSlots: this.#requestLimit.freeSlots(1) },
+      cacheLifetimeMs: this.#predictedCache.lifetimeMs,
     };
   }
 
+  /** Whether requests wait for permits. */
+  get hasQueued(): boolean {
+    return this.#queue.size > 0;
+  }
+
   /** Condition of the engine, judged by the outcome and speed of requests. */
   get engineState(): EngineState {
     return classifyEngine({
@@ -133,7 +141,7 @@
     // A restarted server has an empty cache.
     if (previous === null || !isSameServerStart(configuration, previous)) {
       this.#predictedCache = new PredictedCache(configuration.cacheTokens);
-      this.#predictedCache.note({ parts: this.#listedParts });
+      this.#noteCached({ parts: this.#listedParts });
       this.#health = new ServerHealth();
       this.#requestLimit = new RequestLimit(this.#clock);
       this.#listedParts = [];
@@ -150,7 +158,7 @@
    */
   addCachedParts(parts: readonly PromptPart[]): void {
     if (this.#configuration === null) this.#listedParts = parts;
-    else this.#predictedCache.note({ parts });
+    else this.#noteCached({ parts });
     this.admitQueued();
   }
 
@@ -234,8 +242,8 @@
   }
 
   /**
-   * Issues permits while the engine has capacity. Call it regularly, because
-   * the token bucket refills with time alone.
+   * Issues permits while the engine has capacity. Call it regularly while
+   * requests are queued, because the token bucket refills with time alone.
    */
   admitQueued(): void {
     for (;;) {
@@ -327,7 +335,11 @@
       this.#runsByRouter.get(router) ?? new Map<number, RequestInFlight>();
     runs.set(ask, run);
     this.#runsByRouter.set(router, runs);
-    this.#predictedCache.note(toPrompt(parts));
+    this.#noteCached(toPrompt(parts));
+  }
+
+  #noteCached(prompt: { readonly parts: readonly PromptPart[] }): void {
+    this.#predictedCache.note(prompt, this.#clock.monotonicMs());
   }
 
   #countUncachedTokens({ parts, copiedTokens }: PermitRequest): number {
--- a/src/protocol/admission_messages.ts
+++ b/src/protocol/admission_messages.ts
@@ -118,6 +118,8 @@
   readonly requestsPerS: number | null;
   /** Requests that the limit allows at once; 0 without a limit. */
   readonly freeSlots: number;
+  /** Time after which an unused part of a prompt is evicted; null if none was. */
+  readonly cacheLifetimeMs: number | null;
   /** Routers that are connected. */
   readonly routers: number;
   /** Teams whose recent usage has grown; all teams in the first report. */
--- a/src/protocol/schema.ts
+++ b/src/protocol/schema.ts
@@ -175,6 +175,7 @@
     failureShare: amount,
     requestsPerS: optionalAmount,
     freeSlots: count,
+    cacheLifetimeMs: optionalAmount,
     routers: count,
     teams,
   },
--- a/src/scheduling/engine_admission.ts
+++ b/src/scheduling/engine_admission.ts
@@ -23,6 +23,11 @@
   readonly requestsPerS: number | null;
   /** Requests that the limit allows at once; 0 without a limit. */
   readonly freeSlots: number;
+  /**
+   * Time after which a part of a prompt that no request uses is evicted from the
+   * engine's cache; null if none was evicted.
+   */
+  readonly cacheLifetimeMs: number | null;
   /** Number of routers that are connected to the admission controller. */
   readonly routers: number;
 }
--- a/src/scheduling/engine_candidates.ts
+++ b/src/scheduling/engine_candidates.ts
@@ -1,16 +1,15 @@
 /** Decides among which engines one is chosen for a prompt. */
 
-import { backlogAt } from "./backlog.ts";
 import type { Demand, Prompt } from "./demand.ts";
-import { ownersOf, spareOwnersOf } from "./prefix_owners.ts";
+import { ownersOf } from "./prefix_owners.ts";
 import { rankOnce } from "./rendezvous.ts";
 import type { ServerLoad } from "./server_load.ts";
 
 /**
- * Share of its objective that a request may wait for its owners, by their limits
- * or their prefill backlogs, before other engines are considered, too.
+ * Share of its objective that a request may wait for the limits of its owners
+ * before other engines are considered, too.
  */
-const MAX_OWNER_DELAY_SHARE = 0.3;
+const MAX_LIMIT_DELAY_SHARE = 0.3;
 /**
  * Engines that are considered besides the owners where all engines name limits.
  * Each request has its own: all routers would ask the one with the shortest
@@ -19,8 +18,8 @@
 const LIMITED_CANDIDATES = 4;
 
 /**
- * Returns the owners and, if they are busy or at their limits, engines that the
- * request may go to instead.
+ * Returns the owners and, if they are at their limits, engines that the request
+ * may go to instead: its owners among those without a limit, or any.
  */
 export function candidatesOf(
   owners: readonly ServerLoad[],
@@ -37,16 +36,9 @@
     readonly share: number;
   },
 ): ReadonlySet<ServerLoad> {
-  const maxDelayMs = demand.objectiveMs * MAX_OWNER_DELAY_SHARE;
+  const maxDelayMs = demand.objectiveMs * MAX_LIMIT_DELAY_SHARE;
   const isAtLimit = (load: ServerLoad) => load.limitDelayMs(share) > maxDelayMs;
-  const isBusy = (load: ServerLoad) => {
-    const { tokens, tokensPerMs } = backlogAt(load, share);
-    return tokens > tokensPerMs * maxDelayMs;
-  };
-  if (!owners.every((load) => isAtLimit(load) || isBusy(load)))
-    return new Set(owners);
-  if (!owners.every(isAtLimit))
-    return new Set([...owners, ...spareOwnersOf(prompt, usable, owners)]);
+  if (!owners.every(isAtLimit)) return new Set(owners);
   const unlimited = usable.filter(
     (load) => load.limitedCapacity(share) === null,
   );
--- a/src/scheduling/placement.ts
+++ b/src/scheduling/placement.ts
@@ -131,6 +131,7 @@
   usable: readonly ServerLoad[],
   context: PlacementContext,
 ): Choice | null {
+  const { nowMs } = context;
   const owners = ownersOf(prompt.parts, usable);
   let best: Choice | null = null;
   let bestCostMs = Number.POSITIVE_INFINITY;
@@ -140,8 +141,11 @@
     prompt,
     share: context.share,
   })) {
-    const source = copySourceFor(load, prompt, owners);
-    const missingTokens = missingTokensAt(load, prompt, load === owners[0]);
+    const source = copySourceFor(load, prompt, { sources: owners, nowMs });
+    const missingTokens =
+      load === owners[0]
+        ? ownTokensOf(prompt)
+        : prompt.inputTokens - load.cachedTokens(prompt, nowMs);
     const uncachedTokens = Math.min(
       missingTokens,
       prompt.inputTokens - source.copiedTokens,
@@ -160,7 +164,7 @@
       weightedTokens / Math.max(tokensPerMs, MIN_TOKENS_PER_MS) +
       runs * RUN_COST_MS +
       load.limitDelayMs(context.share) +
-      load.failureShare(context.nowMs) * demand.objectiveMs;
+      load.failureShare(nowMs) * demand.objectiveMs;
     if (costMs >= bestCostMs) continue;
     best = { load, uncachedTokens, ...source };
     bestCostMs = costMs;
@@ -168,17 +172,13 @@
   return best;
 }
 
-/** Prompt tokens that aren't expected in an engine's cache. */
-function missingTokensAt(
-  load: ServerLoad,
-  prompt: Prompt,
-  isFirstOwner: boolean,
-): number {
-  const ownTokens = prompt.parts.at(-1)?.tokens ?? prompt.inputTokens;
-  // The first owner counts as having the prefix even if this router has sent
-  // it none: requests of other routers have put it into its cache.
-  if (isFirstOwner) return ownTokens;
-  return prompt.inputTokens - load.predictedCache.cachedTokens(prompt);
+/**
+ * Tokens of a prompt that its first owner has to prefill. It counts as having
+ * the prefix even if this router has sent it none: requests of other routers
+ * have put it into its cache.
+ */
+function ownTokensOf({ parts, inputTokens }: Prompt): number {
+  return parts.at(-1)?.tokens ?? inputTokens;
 }
 
 function hasCapacity(
--- a/src/scheduling/prefix_owners.ts
+++ b/src/scheduling/prefix_owners.ts
@@ -1,10 +1,4 @@
-/**
- * Finds the engines that hold the shared prefix of a prompt, or can copy it.
- *
- * While both owners of a prefix are busy, further engines copy it: otherwise a
- * prefix that many requests share would keep its two owners busy and leave the
- * others idle, the more so the more engines there are.
- */
+/** Finds the engines that hold the shared prefix of a prompt, or can copy it. */
 
 import type { BackendServer } from "../directory/mod.ts";
 import { type Prompt, type PromptPart, sharedParts } from "./demand.ts";
@@ -16,11 +10,6 @@
  * first has no capacity for; more copies would evict other prefixes.
  */
 const OWNERS_PER_PREFIX = 2;
-/**
- * Engines that are considered besides the owners when these are busy: the next
- * ones by rank, so that copies of a prefix stay on few engines.
- */
-const SPARE_OWNERS = 16;
 /** Prefixes are copied only if that is so many times faster than prefill. */
 const MIN_COPY_SPEEDUP = 4;
 
@@ -48,45 +37,25 @@
   return rank(lastShared.id, usable).slice(0, OWNERS_PER_PREFIX);
 }
 
-/**
- * Engines that can serve a prompt while its owners are busy: those that have its
- * prefix or can copy it. Prefilling it once more would make all of them busier.
- */
-export function spareOwnersOf(
-  prompt: Prompt,
-  usable: readonly ServerLoad[],
-  owners: readonly ServerLoad[],
-): readonly ServerLoad[] {
-  const shared = sharedParts(prompt.parts);
-  const lastShared = shared.at(-1);
-  if (lastShared === undefined) return [];
-  const prefixTokens = shared.reduce((sum, { tokens }) => sum + tokens, 0);
-  const end = OWNERS_PER_PREFIX + SPARE_OWNERS;
-  return rank(lastShared.id, usable)
-    .slice(OWNERS_PER_PREFIX, end)
-    .filter((load) => {
-      const { copiedTokens } = copySourceFor(load, prompt, owners);
-      const cachedTokens = load.predictedCache.cachedTokens(prompt);
-      return Math.max(copiedTokens, cachedTokens) >= prefixTokens;
-    });
-}
-
 /** Another owner of the prefix, if copying from its cache is fast enough. */
 export function copySourceFor(
   load: ServerLoad,
   prompt: Prompt,
-  sources: readonly ServerLoad[],
+  {
+    sources,
+    nowMs,
+  }: { readonly sources: readonly ServerLoad[]; readonly nowMs: number },
 ): CopySource {
   const copiedTokensPerMs = load.engine?.copiedTokensPerMs ?? 0;
   const isFastEnough =
     copiedTokensPerMs >= load.prefillRate.tokensPerMs * MIN_COPY_SPEEDUP;
   if (!isFastEnough) return NO_SOURCE;
   let best: CopySource = NO_SOURCE;
-  for (const { server, predictedCache } of sources) {
-    if (server.id === load.id) continue;
-    const copiedTokens = predictedCache.cachedTokens(prompt);
+  for (const source of sources) {
+    if (source.id === load.id) continue;
+    const copiedTokens = source.cachedTokens(prompt, nowMs);
     if (best.source === null || copiedTokens > best.copiedTokens)
-      best = { source: server, copiedTokens };
+      best = { source: source.server, copiedTokens };
   }
   return best;
 }
--- a/src/scheduling/server_load.ts
+++ b/src/scheduling/server_load.ts
@@ -100,6 +100,15 @@
     return (Math.max(0, asks + 1 - freeSlots) / requestsPerS) * MS_PER_SECOND;
   }
 
+  /** Prefix tokens of a prompt that its cache is expected to hold. */
+  cachedTokens(prompt: Prompt, nowMs: number): number {
+    const lifetimeMs = this.admission?.report?.cacheLifetimeMs ?? null;
+    if (lifetimeMs === null) return this.predictedCache.cachedTokens(prompt);
+    // This router doesn't see what the requests of other routers evict.
+    const usedAfterMs = nowMs - lifetimeMs;
+    return this.predictedCache.cachedTokens(prompt, { usedAfterMs });
+  }
+
   get #permitReport(): EngineReport | null {
     return this.needsPermit ? (this.admission?.report ?? null) : null;
   }
@@ -116,7 +125,7 @@
   ): RequestInFlight {
     const privateTokens = prompt === null ? 0 : privateTokensOf(prompt);
     const run = this.#inFlight.begin({ uncachedTokens, privateTokens }, nowMs);
-    if (prompt !== null) this.predictedCache.note(prompt);
+    if (prompt !== null) this.predictedCache.note(prompt, nowMs);
     return run;
   }
 
--- a/tests/scheduling/hot_prefix_test.ts
+++ b/tests/scheduling/hot_prefix_test.ts
@@ -98,7 +98,8 @@
   /** Begins a permitted request; returns when its first token comes. */
   begin(request: PlayedRequest, tokens: number): number {
     const { ask = 0 } = request.asked ?? {};
-    this.cache.note({ parts: request.demand.prompt?.parts ?? [] });
+    const parts = request.demand.prompt?.parts ?? [];
+    this.cache.note({ parts }, this.#clock.monotonicMs());
     const startMs = Math.max(this.#clock.monotonicMs(), this.#freeAtMs);
     const firstTokenMs = startMs + tokens / TOKENS_PER_MS;
     this.#freeAtMs = firstTokenMs;
@@ -251,7 +252,8 @@
   #begin(request: PlayedRequest, index: number, tokens: number): void {
     const { arrivedAtMs, demand, router } = request;
     const load = this.#viewsByRouter[router]?.[index]?.load;
-    load?.predictedCache.note({ parts: demand.prompt?.parts ?? [] });
+    const parts = demand.prompt?.parts ?? [];
+    load?.predictedCache.note({ parts }, this.#clock.monotonicMs());
     const firstTokenMs = this.#engines[index]?.begin(request, tokens) ?? 0;
     if (arrivedAtMs <= WARM_AFTER_MS) return;
     this.#tokens += tokens;
--- a/tests/scheduling/placement_test.ts
+++ b/tests/scheduling/placement_test.ts
@@ -33,6 +33,7 @@
     failureShare: 0,
     requestsPerS: null,
     freeSlots: 0,
+    cacheLifetimeMs: null,
     routers: 1,
   };
   return {
--- a/tests/scheduling/prefix_copy_test.ts
+++ b/tests/scheduling/prefix_copy_test.ts
@@ -67,7 +67,7 @@
       choice.source === null ? 0 : (other?.cache.cachedTokens(prompt) ?? 0);
     const cached = Math.max(copied, engine.cache.cachedTokens(prompt));
     const tokens = prompt.inputTokens - cached;
-    engine.cache.note(prompt);
+    engine.cache.note(prompt, nowMs);
     prefilledTokens += tokens;
     placed += 1;
     const startMs = Math.max(nowMs, engine.busyUntilMs);
