Send heartbeats and wake up less in fleets of hundreds

Each of 68 routers is connected to each of 84 admission controllers; every connection sent a heartbeat each 250 to 500 ms in both directions and had a timer of its own (250 ms), and each controller woke up 140 times a second to look at an empty queue and encoded each report 68 times. Change: connections to admission controllers have frequent heartbeats only while a router waits for a permit, else one in 2 s; one timer checks all connections of a process; queues are looked at while they hold requests; reports are scheduled when they are due and encoded once. Ruled out: fewer connections (subsets), which needs a design of its own.

--- a/src/admission/admission_process.ts
+++ b/src/admission/admission_process.ts
@@ -18,6 +18,7 @@
 import type { PromptPart } from "../scheduling/mod.ts";
 import {
   type Connection,
+  encode,
   type Identity,
   Listener,
   Traffic,
@@ -28,7 +29,7 @@
 import { RouterSession } from "./router_session.ts";
 import type { AdmissionSettings } from "./settings.ts";
 
-/** Interval at which the report throttle and the engine's state are checked. */
+/** Shortest interval at which reports and the engine's state are checked. */
 const REPORT_CHECK_INTERVAL_MS = 25;
 /** Interval at which queued requests are tried as the token bucket refills. */
 const ADMISSION_INTERVAL_MS = 10;
@@ -86,14 +87,7 @@
   async start(): Promise<void> {
     const { instance, service, listen } = this.#settings;
     await this.#listener.listen(listen);
-    this.#reportTimer = setInterval(
-      () => this.#reportWhenDue(),
-      REPORT_CHECK_INTERVAL_MS,
-    );
-    this.#admissionTimer = setInterval(
-      () => this.#controller.admitQueued(),
-      ADMISSION_INTERVAL_MS,
-    );
+    this.#scheduleReport();
     this.#teamLogTimer = setInterval(() => {
       this.#logTeams();
       this.#crashEvidence.sweep();
@@ -110,8 +104,8 @@
 
   /** Stops the timers and closes every connection. */
   async close(): Promise<void> {
-    if (this.#reportTimer !== null) clearInterval(this.#reportTimer);
-    if (this.#admissionTimer !== null) clearInterval(this.#admissionTimer);
+    if (this.#reportTimer !== null) clearTimeout(this.#reportTimer);
+    this.#stopAdmitting();
     if (this.#teamLogTimer !== null) clearInterval(this.#teamLogTimer);
     this.#events.info("stop", { routers: this.#sessions.size });
     await this.#listener.close();
@@ -122,6 +116,7 @@
     const { instance } = connection.peer;
     const session = new RouterSession(connection, this.#controller, {
       onReport: (report) => this.#relayReport(report, session),
+      onAsk: () => this.#admitRegularly(),
       onLimitChange: () => this.#logLimit(instance),
       onOrigin: (notice) => this.#noteOrigin(notice),
       findOrigin: (query) => this.#findOrigin(query),
@@ -167,6 +162,32 @@
     }
   }
 
+  /** Calls `admitQueued` regularly until no request is queued. */
+  #admitRegularly(): void {
+    if (this.#admissionTimer !== null || !this.#controller.hasQueued) return;
+    this.#admissionTimer = setInterval(() => {
+      this.#controller.admitQueued();
+      if (!this.#controller.hasQueued) this.#stopAdmitting();
+    }, ADMISSION_INTERVAL_MS);
+  }
+
+  #stopAdmitting(): void {
+    if (this.#admissionTimer !== null) clearInterval(this.#admissionTimer);
+    this.#admissionTimer = null;
+  }
+
+  #scheduleReport(): void {
+    const routers = this.#sessions.size;
+    const delayMs = this.#reportThrottle.delayMs({ routers });
+    this.#reportTimer = setTimeout(
+      () => {
+        this.#reportWhenDue();
+        this.#scheduleReport();
+      },
+      Math.max(delayMs, REPORT_CHECK_INTERVAL_MS),
+    );
+  }
+
   #reportWhenDue(): void {
     this.#logEngineStateChange();
     const routers = this.#sessions.size;
@@ -205,7 +226,8 @@
     const content = JSON.stringify({ ...report, teams: [] });
     if (content === this.#lastReport && teams.length === 0) return;
     this.#lastReport = content;
-    for (const session of this.#sessions) session.sendReport(report);
+    const frame = encode(report);
+    for (const session of this.#sessions) session.sendEncoded(report, frame);
   }
 
   #createReport(teams: readonly TeamUsage[]): ServerReport {
--- a/src/admission/report_throttle.ts
+++ b/src/admission/report_throttle.ts
@@ -27,12 +27,19 @@
   }
 
   /** Returns whether a report is due now; if so, the interval starts anew. */
-  tryAcquire({ routers }: { readonly routers: number }): boolean {
-    const nowMs = this.#clock.monotonicMs();
-    const intervalMs = routers * INTERVAL_PER_ROUTER_MS;
-    const elapsedMs = nowMs - this.#reportedAtMs;
-    if (elapsedMs < Math.min(intervalMs, MAX_INTERVAL_MS)) return false;
-    this.#reportedAtMs = nowMs;
+  tryAcquire(fleet: { readonly routers: number }): boolean {
+    if (this.delayMs(fleet) > 0) return false;
+    this.#reportedAtMs = this.#clock.monotonicMs();
     return true;
   }
+
+  /** Time until the next report is due, in milliseconds. */
+  delayMs({ routers }: { readonly routers: number }): number {
+    const intervalMs = Math.min(
+      routers * INTERVAL_PER_ROUTER_MS,
+      MAX_INTERVAL_MS,
+    );
+    const elapsedMs = this.#clock.monotonicMs() - this.#reportedAtMs;
+    return Math.max(0, intervalMs - elapsedMs);
+  }
 }
--- a/src/admission/router_session.ts
+++ b/src/admission/router_session.ts
@@ -10,13 +10,15 @@
   ServerReport,
   SoundReport,
 } from "../protocol/mod.ts";
-import type { Connection } from "../transport/mod.ts";
+import { ADMISSION_HEARTBEAT_MS, type Connection } from "../transport/mod.ts";
 import type { PermitReceiver } from "./admission_queue.ts";
 import type { AdmissionController } from "./controller.ts";
 
 /** Notices of what a router has sent. */
 export interface RouterSessionListener {
   onReport(report: CrashReport | SoundReport): void;
+  /** A request has been queued or permitted. */
+  onAsk(): void;
   /** The engine's limit on requests has changed. */
   onLimitChange(): void;
   /** A server without an admission controller has named a limit. */
@@ -43,9 +45,7 @@
 
   /** Serves the connection until it closes, then drops the router's work. */
   async serve(): Promise<void> {
-    // A busy connection has the fastest heartbeats, so that routers detect the
-    // loss of an admission controller quickly.
-    this.#connection.setBusy(true);
+    this.#connection.setIdleHeartbeatMs(ADMISSION_HEARTBEAT_MS);
     for await (const message of this.#connection.messages)
       this.#handle(message);
     this.#controller.removeRouter(this);
@@ -63,6 +63,11 @@
     this.#connection.send(report);
   }
 
+  /** Sends a report that was encoded once for all routers. */
+  sendEncoded(report: ServerReport, frame: Buffer): void {
+    this.#connection.sendEncoded(report, frame);
+  }
+
   #handle(message: Message): void {
     switch (message.type) {
       case "engine-terms":
@@ -70,6 +75,7 @@
         return;
       case "ask":
         this.#controller.enqueue(this, message);
+        this.#listener.onAsk();
         return;
       case "held":
         this.#controller.addRunning(this, message);
--- a/src/direct/admission_client.ts
+++ b/src/direct/admission_client.ts
@@ -31,6 +31,7 @@
   type Prompt,
 } from "../scheduling/mod.ts";
 import {
+  ADMISSION_HEARTBEAT_MS,
   type Connection,
   type ConnectionOwner,
   type Credentials,
@@ -168,12 +169,19 @@
       objectiveMs: demand.objectiveMs,
       leftMs,
     });
+    this.#updateBusy();
     return () => {
       if (!this.#pendingAsks.delete(ask)) return;
       this.#connection?.send({ type: "withdraw", ask });
+      this.#updateBusy();
     };
   }
 
+  /** Requests that wait for a permit need a lost controller to be noticed soon. */
+  #updateBusy(): void {
+    this.#connection?.setBusy(this.#pendingAsks.size > 0);
+  }
+
   #addAskedTokens({ parts }: Prompt): void {
     const report = this.#report;
     if (report === null) return;
@@ -184,7 +192,8 @@
   async #serve(connection: Connection): Promise<void> {
     const gate = connection.peer.instance;
     this.#connection = connection;
-    connection.setBusy(true);
+    connection.setIdleHeartbeatMs(ADMISSION_HEARTBEAT_MS);
+    this.#updateBusy();
     this.sendEngineConfiguration();
     for (const [ask, permitted] of this.#permittedRequests) {
       connection.send(runningRequestMessage(ask, permitted));
@@ -266,6 +275,7 @@
       return;
     }
     this.#pendingAsks.delete(ask);
+    this.#updateBusy();
     const { demand, prompt } = pending.parameters;
     this.#permittedRequests.set(ask, {
       team: demand.team,
--- a/src/transport/connection.ts
+++ b/src/transport/connection.ts
@@ -8,6 +8,7 @@
 import * as codec from "./codec.ts";
 import { FrameDecoder } from "./frame_decoder.ts";
 import type { Identity } from "./identity.ts";
+import { SharedInterval } from "./shared_interval.ts";
 import type { Traffic } from "./traffic.ts";
 
 /** Large enough for the largest body and its headers. */
@@ -16,6 +17,13 @@
 const BUSY_HEARTBEAT_MS = 500;
 /** Longest heartbeat interval while no requests are in flight. */
 const IDLE_HEARTBEAT_MS = 10_000;
+/**
+ * Longest heartbeat interval between a router and an admission controller. A
+ * router that waits for a permit gets heartbeats as often as any busy end; each
+ * of hundreds of routers and controllers is connected to all of the others, so
+ * that nothing more frequent is affordable without a cause.
+ */
+export const ADMISSION_HEARTBEAT_MS = 2_000;
 /** Heartbeat intervals without data after which a connection is closed. */
 const MISSED_HEARTBEATS = 3;
 /** Limit for flushing sent messages before a connection is closed. */
@@ -25,6 +33,8 @@
 /** Time between two checks of the peer's silence and of own heartbeats. */
 const CHECK_INTERVAL_MS = 250;
 
+const checks = new SharedInterval(CHECK_INTERVAL_MS);
+
 /** What a connection needs from the process that owns it. */
 export interface ConnectionOwner {
   readonly clock: Clock;
@@ -53,7 +63,7 @@
   #peerBusy = false;
   #announcedBusy = false;
   #busySinceMs = 0;
-  #timer: NodeJS.Timeout | null = null;
+  #stopChecks: (() => void) | null = null;
 
   constructor(socket: Socket, owner: ConnectionOwner) {
     this.#socket = socket;
@@ -90,7 +100,8 @@
   /** Starts heartbeats; call it once the peer is authenticated. */
   start(peer: Identity): void {
     this.#peer = peer;
-    this.#timer = setInterval(() => this.#check(), CHECK_INTERVAL_MS);
+    this.#lastCheckMs = this.#owner.clock.monotonicMs();
+    this.#stopChecks = checks.add(() => this.#check());
     // Deferred, so that the code that serves this connection can first set the
     // idle interval: the peer relies on the interval announced here.
     queueMicrotask(() => this.sendHeartbeat());
@@ -126,9 +137,14 @@
 
   /** Sends a message; does nothing once the connection is closed. */
   send(message: Message): void {
+    if (this.#closeReason === null)
+      this.sendEncoded(message, codec.encode(message));
+  }
+
+  /** Sends a message that was encoded once for several connections. */
+  sendEncoded(message: Message, frame: Buffer): void {
     if (this.#closeReason !== null) return;
     this.#lastSentMs = this.#owner.clock.monotonicMs();
-    const frame = codec.encode(message);
     this.#owner.traffic.count(message, frame.length);
     this.#cork();
     this.#socket.write(frame);
@@ -138,7 +154,7 @@
   close(reason: string): void {
     if (this.#closeReason !== null) return;
     this.#closeReason = reason;
-    if (this.#timer !== null) clearInterval(this.#timer);
+    this.#stopChecks?.();
     this.#received.close();
     this.#socket.destroy();
   }
