--- a/tests/direct/admission_clients_test.ts
+++ b/tests/direct/admission_clients_test.ts
@@ -5,8 +5,11 @@
 import { systemClock } from "../../src/common/clock.ts";
 import { AdmissionClients } from "../../src/direct/admission_clients.ts";
 import { RouteTable } from "../../src/routing/mod.ts";
+import { ADMISSION_HEARTBEAT_MS } from "../../src/transport/mod.ts";
+import { FaultProxy } from "../../tools/fleet/fault_proxy.ts";
 import { freePorts } from "../../tools/fleet/ports.ts";
 import { until } from "../../tools/fleet/until.ts";
+import { createDemand, createPrompt } from "../scheduling/demands.ts";
 import { createConfiguration } from "../support/routes.ts";
 import { createServer } from "../support/servers.ts";
 import { events, FLEET_KEY, startAdmission } from "./fixture.ts";
@@ -17,6 +20,7 @@
 async function createClients() {
   const [port = 0] = await freePorts(1);
   const admission = await startAdmission(port);
+  const proxy = await FaultProxy.start(port);
   const engine = { slots: 8, cacheTokens: 10_000, copiedTokensPerMs: 0 };
   const services = [{ name: "desk", maxConnections: 100, engine }];
   const table = new RouteTable(createConfiguration({ services }));
@@ -27,7 +31,7 @@
         ...{ role: "router", instance: "router-1", incarnation: "1" },
         ...{ availabilityZone: "a", service: "" },
       },
-      settings: { gatePort: port, fleetKey: FLEET_KEY },
+      settings: { gatePort: proxy.port, fleetKey: FLEET_KEY },
     },
     {
       table: () => table,
@@ -42,9 +46,10 @@
   );
   const close = async () => {
     clients.close();
+    proxy.close();
     await admission.close();
   };
-  return { clients, close };
+  return { clients, proxy, close };
 }
 
 test("a connection outlasts the entry of a server's predecessor", async () => {
@@ -72,3 +77,34 @@
   await until("the connection is closed", TIMEOUT_MS, { holds: isClosed });
   await close();
 });
+
+test("a request isn't kept waiting by a controller that has fallen silent", async () => {
+  const { clients, proxy, close } = await createClients();
+  const client = clients.of(createServer({ host: HOST }));
+  await until("the client is connected", TIMEOUT_MS, {
+    holds: () => client?.connected === true,
+  });
+  proxy.freeze();
+  let isPlacedAgain = false;
+  const startedMs = performance.now();
+  client?.requestPermit(
+    {
+      demand: createDemand(),
+      prompt: createPrompt("head", "own"),
+      ...{ copiedTokens: 0, elsewhere: 0, leftMs: 1_000 },
+    },
+    {
+      permitted: () => assert.fail("A silent controller permits nothing"),
+      disconnected: () => {
+        isPlacedAgain = true;
+      },
+    },
+  );
+  await until("the request is placed again", TIMEOUT_MS, {
+    holds: () => isPlacedAgain,
+  });
+  // An idle connection would be noticed after three of its heartbeats.
+  const idleMs = 3 * ADMISSION_HEARTBEAT_MS;
+  assert.ok(performance.now() - startedMs < idleMs / 2);
+  await close();
+});
