--- a/src/direct/caller_server.ts
+++ b/src/direct/caller_server.ts
@@ -10,6 +10,7 @@
 import type { QueueReport } from "../common/accept_queue.ts";
 import { listen } from "../common/listen.ts";
 import { OverloadGuard } from "../common/overload_guard.ts";
+import { ProcessorShare } from "../common/processor_share.ts";
 import type { CallerLimits } from "../routing/mod.ts";
 import type { ListenAddress } from "../transport/mod.ts";
 import { Exchange, type ExchangeDependencies } from "./exchange.ts";
@@ -42,11 +43,15 @@
   /** Exchanges whose responses aren't flushed, by open connection. */
   readonly #unflushed = new Map<net.Socket, Set<Exchange>>();
   readonly #guard: OverloadGuard;
+  readonly #processorShare: ProcessorShare;
   #stage: Stage = "open";
+  /** Requests refused as overloaded since the last log line. */
+  #refusedUnlogged = 0;
 
   constructor(deps: ExchangeDependencies) {
     const { clock } = deps;
     this.#deps = deps;
+    this.#processorShare = new ProcessorShare(clock);
     const options = {
       maxHeaderSize: PARSER_HEADER_LIMIT_BYTES,
       connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
@@ -162,6 +167,7 @@
         await exchange.run().finally(() => this.#guard.release());
         return;
       case "refuse":
+        this.#refusedUnlogged += 1;
         exchange.refuse("overloaded", { retryAfterMs: retryAfterOverloadMs() });
         return;
       case "left":
@@ -176,9 +182,13 @@
     const { metrics, events } = this.#deps;
     metrics.count("oriole_connections_total", {}, accepted);
     metrics.observe("oriole_accept_queue_seconds", standingMs);
+    const processorShare = this.#processorShare.take();
+    const refused = this.#refusedUnlogged;
+    this.#refusedUnlogged = 0;
     if (standingMs < LOGGED_QUEUE_MS) return;
     events.warn("accept-queue", {
-      ...{ standingMs: Math.round(standingMs), accepted },
+      ...{ standingMs: Math.round(standingMs), accepted, refused },
+      processorShare: Number(processorShare.toFixed(3)),
       longestTurnMs: Math.round(longestTurnMs),
       ...{
         openRequests: this.openRequests,
