--- a/tests/direct/raw_caller.ts
+++ b/tests/direct/raw_caller.ts
@@ -1,5 +1,6 @@
 /** A caller that shows how its connection ends, which HTTP clients may hide. */
 
+import { once } from "node:events";
 import { connect, type Socket } from "node:net";
 
 /** What a caller has received, and how its connection ended. */
@@ -38,7 +39,10 @@
   readonly seen: { text: string; end: "open" | "ended" | "reset" };
 }
 
-/** Opens a connection to a router; destroy its socket at the test's end. */
+/**
+ * Opens a connection to a router; destroy its socket at the test's end. Rejects
+ * if nobody listens.
+ */
 export async function connectCaller(port: number): Promise<Caller> {
   const socket = connect(port, "127.0.0.1");
   const seen: Caller["seen"] = { text: "", end: "open" };
@@ -51,7 +55,7 @@
   socket.on("error", () => {
     seen.end = "reset";
   });
-  await new Promise<void>((resolve) => socket.once("connect", resolve));
+  await once(socket, "connect");
   return { socket, seen };
 }
 
--- a/tests/on_platform/end_to_end_test.ts
+++ b/tests/on_platform/end_to_end_test.ts
@@ -4,9 +4,9 @@
  */
 
 import assert from "node:assert/strict";
-import { type ChildProcess, execFile, spawn } from "node:child_process";
+import { execFile } from "node:child_process";
 import { once } from "node:events";
-import { mkdtemp, readFile, rm, writeFile } from "node:fs/promises";
+import { mkdtemp, rm, writeFile } from "node:fs/promises";
 import type { Server } from "node:http";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
@@ -19,6 +19,13 @@
 import { freePorts } from "../../tools/fleet/ports.ts";
 import { until } from "../../tools/fleet/until.ts";
 import { respondCompletely } from "../direct/fixture.ts";
+import {
+  type Program,
+  type Role,
+  render,
+  spawnProgram,
+  waitForEvent,
+} from "./program_fixture.ts";
 import {
   createWireConfiguration,
   createWireRoute,
@@ -36,12 +43,6 @@
 let folder: string;
 let ports: number[];
 
-/** A started program and the events of its log. */
-interface Program {
-  readonly process: ChildProcess;
-  readonly events: Record<string, unknown>[];
-}
-
 function createConfiguration(version: number, pathPrefix: string) {
   const route = createWireRoute({ kind: "idempotent", pathPrefix });
   return createWireConfiguration({ version, routes: [route] });
@@ -68,43 +69,15 @@
   };
 }
 
-/** Renders a settings template; supports only the syntax that ours use. */
-async function render(role: string, fields: object): Promise<string> {
-  const path = join(ROOT, "deploy", `${role}.json.template`);
-  const template = await readFile(path, "utf8");
-  return template.replace(/\{\{([\w.]+)(\|json)?\}\}/g, (_all, name, json) => {
-    const value = name
-      .split(".")
-      .reduce((at: never, key: string) => at[key], fields as never);
-    return json === undefined ? String(value) : JSON.stringify(value);
-  });
-}
-
-async function start(role: string, settings: string): Promise<Program> {
+async function start(role: Role, settings: string): Promise<Program> {
   const path = join(folder, `${role}-${started.length}.json`);
   await writeFile(path, settings);
   const script = join(ROOT, "dist", "bundle", `${role}_main.js`);
-  const child = spawn(process.execPath, [script], {
-    env: { ...process.env, ORIOLEROUTER_BOOT: path },
-    stdio: ["ignore", "pipe", "inherit"],
-  });
-  const events: Record<string, unknown>[] = [];
-  let rest = "";
-  child.stdout.setEncoding("utf8").on("data", (text: string) => {
-    const lines = (rest + text).split("\n");
-    rest = lines.pop() ?? "";
-    for (const line of lines) events.push(JSON.parse(line));
-  });
-  const program = { process: child, events };
+  const program = spawnProgram(script, path);
   started.push(program);
   return program;
 }
 
-async function waitForEvent({ events }: Program, event: string): Promise<void> {
-  const holds = () => events.some((line) => line.event === event);
-  await until(`the event "${event}" is logged`, TIMEOUT_MS, { holds });
-}
-
 async function call(path: string) {
   const [front] = ports;
   const response = await request(`http://127.0.0.1:${front}${path}`, {
@@ -177,7 +150,7 @@
 });
 
 test("incomplete settings end both programs with exit code 2", async () => {
-  for (const role of ["router", "admission"]) {
+  for (const role of ["router", "admission"] as const) {
     const program = await start(role, "{}");
     const [code] = await once(program.process, "exit");
     assert.equal(code, 2);
