Send requests to sound servers before those that can't be reached

Callers got 503 (unreachable) beside idle sound servers when other writers had left entries whose address nobody answers at: a request tried eight such entries and gave up, since nothing kept it from choosing the next one.

--- a/src/direct/exchange.ts
+++ b/src/direct/exchange.ts
@@ -41,8 +41,6 @@
  * connection, the caller gets another router.
  */
 const STORE_REFUSALS = new Set(["no-configuration", "keys-too-old"]);
-/** Failed connection attempts after which a request is given up. */
-const CONNECT_FAILURE_LIMIT = 8;
 
 /** Dependencies of an exchange. */
 export interface ExchangeDependencies extends RequestSenderDependencies {
@@ -74,7 +72,6 @@
   readonly #record: RequestRecord;
   #deadlineTimer: NodeJS.Timeout | null = null;
   #hasReadTerms = false;
-  #connectFailures = 0;
 
   constructor(
     deps: ExchangeDependencies,
@@ -262,9 +259,8 @@
     }
   }
 
-  #handleConnectFailure({ mayHaveRun }: RequestSender): Step {
-    this.#connectFailures += 1;
-    if (this.#connectFailures < CONNECT_FAILURE_LIMIT) return RETRY;
+  #handleConnectFailure({ mayHaveRun, isUnreachable }: RequestSender): Step {
+    if (!isUnreachable) return RETRY;
     this.#fail(
       mayHaveRun
         ? outcomeUnknown("unreachable", "No server can be reached")
--- a/src/direct/request_sender.ts
+++ b/src/direct/request_sender.ts
@@ -40,6 +40,12 @@
  */
 const HEDGE_PLACEMENT_TIMEOUT_MS = 100;
 
+/**
+ * Failed connection attempts at servers that had failed before, after which a
+ * request is given up.
+ */
+const CONNECT_FAILURE_LIMIT = 8;
+
 /** Dependencies of a request sender. */
 export interface RequestSenderDependencies {
   readonly clock: Clock;
@@ -71,6 +77,7 @@
   readonly #deps: RequestSenderDependencies;
   readonly #options: RequestSenderOptions;
   readonly #triedServers = new Set<string>();
+  readonly #unreachableServers = new Set<string>();
   /** Null if the stream, or another response, can't be resumed. */
   readonly #progress: StreamProgress | null;
   /** How far the response to each send has come. */
@@ -82,6 +89,8 @@
   /** Where its stream began; null before the first event. */
   #origin: StreamOrigin | null;
   #mayHaveRun = false;
+  /** Connections that failed although the server was known to be unreachable. */
+  #repeatedConnectFailures = 0;
 
   constructor(deps: RequestSenderDependencies, options: RequestSenderOptions) {
     const { team, body, terms, route } = options.admitted;
@@ -100,6 +109,11 @@
     return this.#mayHaveRun;
   }
 
+  /** Whether it has often failed to connect to the only servers left. */
+  get isUnreachable(): boolean {
+    return this.#repeatedConnectFailures >= CONNECT_FAILURE_LIMIT;
+  }
+
   /** Whether its route allows to send it to one more server. */
   get maySendAgain(): boolean {
     const { admitted, record } = this.#options;
@@ -132,6 +146,7 @@
       objectiveMs: route.objectiveMs,
       deadlineAtMs: admitted.deadlineAtMs,
       excluded: this.#triedServers,
+      avoided: this.#unreachableServers,
       version,
     };
   }
@@ -319,6 +334,10 @@
         this.#mayHaveRun = true;
         return;
       case "unreachable": {
+        const { id } = placement.server;
+        if (this.#unreachableServers.has(id))
+          this.#repeatedConnectFailures += 1;
+        this.#unreachableServers.add(id);
         const request = this.#options.record.logFields.id;
         const failure = { ...end.failure, request };
         this.#deps.crashGuard.handleUnreachable(placement.server, failure);
--- a/src/scheduling/demand.ts
+++ b/src/scheduling/demand.ts
@@ -33,6 +33,8 @@
   readonly deadlineAtMs: number;
   /** Ids of servers that it must not be sent to again. */
   readonly excluded: ReadonlySet<string>;
+  /** Ids of servers that couldn't be reached; used if no other is left. */
+  readonly avoided: ReadonlySet<string>;
   /**
    * Software version that began the stream and that it can go on at; null for
    * any.
--- a/src/scheduling/placement.ts
+++ b/src/scheduling/placement.ts
@@ -65,8 +65,8 @@
   loads: readonly ServerLoad[],
   context: PlacementContext,
 ): Choice | null {
-  const usable = loads.filter(
-    (load) => isEligible(load, demand) && load.health.isUsable(context.nowMs),
+  const usable = preferredLoads(loads, demand).filter(({ health }) =>
+    health.isUsable(context.nowMs),
   );
   if (demand.prompt === null) return choosePlainServer(usable, context);
   return chooseEngine(
@@ -77,6 +77,16 @@
   );
 }
 
+/** Servers that it may be sent to, without those to avoid if others are left. */
+function preferredLoads(
+  loads: readonly ServerLoad[],
+  demand: Demand,
+): readonly ServerLoad[] {
+  const eligible = loads.filter((load) => isEligible(load, demand));
+  const preferred = eligible.filter(({ id }) => !demand.avoided.has(id));
+  return preferred.length > 0 ? preferred : eligible;
+}
+
 /** Whether the request may be sent to the server, by load and health apart. */
 export function isEligible(
   { id, server }: ServerLoad,
--- a/stand_ins/store/store.ts
+++ b/stand_ins/store/store.ts
@@ -29,6 +29,8 @@
   responseMode: ResponseMode = "serving";
   /** Most objects in one page of a list. */
   pageSize = 500;
+  /** Writes a response's body. */
+  encode: (value: unknown) => string = JSON.stringify;
   /** Calls that were received, answered or not. */
   calls = 0;
   readonly #kinds = new Map<string, Map<string, StoredObject>>();
@@ -112,7 +114,7 @@
     const rest = [...this.#of(kind).values()]
       .sort((a, b) => (a.metadata.name < b.metadata.name ? -1 : 1))
       .filter(({ metadata }) => metadata.name > after);
-    sendJson(response, 200, {
+    this.#send(response, {
       items: rest.slice(0, this.pageSize),
       hasMore: rest.length > this.pageSize,
       currentRev: this.#revision,
@@ -140,7 +142,12 @@
       return;
     }
     const events = find().map(({ object, deleted }) => ({ object, deleted }));
-    sendJson(response, 200, { events, currentRev: this.#revision });
+    this.#send(response, { events, currentRev: this.#revision });
+  }
+
+  #send(response: ServerResponse, value: unknown): void {
+    response.writeHead(200, { "content-type": "application/json" });
+    response.end(this.encode(value));
   }
 
   async #waitForChange(waitMs: number): Promise<void> {
--- a/tests/scheduling/demands.ts
+++ b/tests/scheduling/demands.ts
@@ -14,6 +14,7 @@
     objectiveMs: 1_000,
     deadlineAtMs: 9_000,
     excluded: new Set(),
+    avoided: new Set(),
     version: null,
     ...change,
   };
