Heed what servers say of themselves: that they leave, or want nothing now

Cause: no process read Server-Leaving or a server's Retry-After, and one router can't follow them alone, as the others go on.

ServerNotices (src/directory/) remembers them for one start of a server, so one that restarts under its id is used at once. A server that leaves counts as draining whatever its entry says. A paused one gets no request, retry, hedge or resumed stream until its time is over; what awaits a permit for it goes elsewhere, a permit in hand is given back, and a request whose connection is still being opened is placed anew. When no server takes requests, callers are refused at once, waiting ones too, with the rest of the shortest pause as Retry-After. Routers tell the engine's admission controller, which issues no more permits, and two others; controllers tell all routers, also those that connect later.

--- a/src/admission/admission_process.ts
+++ b/src/admission/admission_process.ts
@@ -3,13 +3,14 @@
 import { randomUUID } from "node:crypto";
 import { systemClock } from "../common/clock.ts";
 import type { EventLog } from "../common/event_log.ts";
+import { packNotice, ServerNotices, unpackNotice } from "../directory/mod.ts";
 import { OriginMemory, packOrigin, unpackOrigin } from "../origins/mod.ts";
 import type {
   CrashReport,
   OriginAnswer,
   OriginNotice,
   OriginQuery,
-  RequestLimitNotice,
+  ServerNoticeReport,
   ServerReport,
   SoundReport,
   TeamUsage,
@@ -26,7 +27,7 @@
 import { AdmissionController } from "./controller.ts";
 import type { EngineState } from "./engine_state.ts";
 import { ReportThrottle } from "./report_throttle.ts";
-import { RouterSession } from "./router_session.ts";
+import { type RelayedReport, RouterSession } from "./router_session.ts";
 import type { AdmissionSettings } from "./settings.ts";
 
 /** Shortest interval at which reports and the engine's state are checked. */
@@ -44,7 +45,9 @@
 export class AdmissionProcess {
   readonly #settings: AdmissionSettings;
   readonly #events: EventLog;
-  readonly #controller = new AdmissionController(systemClock);
+  /** Notices of all servers, for routers that connect later. */
+  readonly #notices = new ServerNotices(systemClock);
+  readonly #controller = new AdmissionController(systemClock, this.#notices);
   /** Beginnings of streams at all servers, for routers to find. */
   readonly #origins = new OriginMemory(systemClock);
   readonly #crashEvidence = new CrashEvidence(systemClock);
@@ -120,11 +123,14 @@
       onLimitChange: () => this.#logLimit(instance),
       onOrigin: (notice) => this.#noteOrigin(notice),
       findOrigin: (query) => this.#findOrigin(query),
+      onServerNotice: (report) => this.#relayNotice(report, session),
       onOtherLimit: (notice) => this.#relayToOthers(notice, session),
     });
     this.#sessions.add(session);
     for (const report of this.#crashEvidence.reports())
       session.sendReport(report);
+    for (const { start, notice } of this.#notices.current)
+      session.sendReport(packNotice(start, notice));
     session.sendReport(this.#createReport([...this.#controller.recentUsage]));
     this.#events.info("router-connected", { router: instance });
     await session.serve();
@@ -153,10 +159,12 @@
     if (this.#crashEvidence.add(report)) this.#relayToOthers(report, from);
   }
 
-  #relayToOthers(
-    report: CrashReport | SoundReport | RequestLimitNotice,
-    from: RouterSession,
-  ): void {
+  #relayNotice(report: ServerNoticeReport, from: RouterSession): void {
+    const { start, notice } = unpackNotice(report);
+    if (this.#notices.note(start, notice)) this.#relayToOthers(report, from);
+  }
+
+  #relayToOthers(report: RelayedReport, from: RouterSession): void {
     for (const session of this.#sessions) {
       if (session !== from) session.sendReport(report);
     }
--- a/src/admission/controller.ts
+++ b/src/admission/controller.ts
@@ -8,6 +8,7 @@
  */
 
 import type { Clock } from "../common/clock.ts";
+import { ServerNotices } from "../directory/mod.ts";
 import { RecentUsage, TeamTally } from "../fairness/mod.ts";
 import type {
   EngineConfiguration,
@@ -78,6 +79,7 @@
   /** Requests that were permitted or withdrawn. */
   readonly teamTally = new TeamTally();
   readonly #clock: Clock;
+  readonly #notices: ServerNotices;
   readonly #queue = new AdmissionQueue();
   readonly #runsByRouter = new Map<
     PermitReceiver,
@@ -93,8 +95,10 @@
   readonly #tokenBucket: TokenBucket;
   #requestLimit: RequestLimit;
 
-  constructor(clock: Clock) {
+  /** @param notices what servers have said of themselves */
+  constructor(clock: Clock, notices = new ServerNotices(clock)) {
     this.#clock = clock;
+    this.#notices = notices;
     this.#tokenBucket = new TokenBucket(clock);
     this.#requestLimit = new RequestLimit(clock);
     this.recentUsage = new RecentUsage(clock);
@@ -275,6 +279,8 @@
 
   #hasCapacity(request: PermitRequest, uncachedTokens: number): boolean {
     if (this.#configuration === null) return false;
+    const { server, startedAtMs } = this.#configuration;
+    if (this.#notices.isClosed({ id: server, startedAtMs })) return false;
     if (this.#requestLimit.delayMs(1) > 0) return false;
     if (
       !this.#tokenBucket.hasTokens &&
--- a/src/admission/router_session.ts
+++ b/src/admission/router_session.ts
@@ -7,6 +7,7 @@
   OriginNotice,
   OriginQuery,
   RequestLimitNotice,
+  ServerNoticeReport,
   ServerReport,
   SoundReport,
 } from "../protocol/mod.ts";
@@ -14,6 +15,13 @@
 import type { PermitReceiver } from "./admission_queue.ts";
 import type { AdmissionController } from "./controller.ts";
 
+/** What one router tells the others. */
+export type RelayedReport =
+  | CrashReport
+  | SoundReport
+  | RequestLimitNotice
+  | ServerNoticeReport;
+
 /** Notices of what a router has sent. */
 export interface RouterSessionListener {
   onReport(report: CrashReport | SoundReport): void;
@@ -23,6 +31,8 @@
   onLimitChange(): void;
   /** A server without an admission controller has named a limit. */
   onOtherLimit(notice: RequestLimitNotice): void;
+  /** A server has said that it leaves, or takes no requests for a time. */
+  onServerNotice(report: ServerNoticeReport): void;
   onOrigin(notice: OriginNotice): void;
   findOrigin(query: OriginQuery): OriginAnswer;
 }
@@ -57,9 +67,7 @@
   }
 
   /** Sends the engine's load, or what another router has reported. */
-  sendReport(
-    report: ServerReport | CrashReport | SoundReport | RequestLimitNotice,
-  ): void {
+  sendReport(report: ServerReport | RelayedReport): void {
     this.#connection.send(report);
   }
 
@@ -95,6 +103,9 @@
         else if (this.#controller.noteRequestLimit(message))
           this.#listener.onLimitChange();
         return;
+      case "server-notice":
+        this.#listener.onServerNotice(message);
+        return;
       case "stream-origin":
         this.#listener.onOrigin(message);
         return;
--- a/src/direct/admission_client.ts
+++ b/src/direct/admission_client.ts
@@ -16,6 +16,7 @@
   PermitOutcome,
   RequestLimitNotice,
   RunningRequest,
+  ServerNoticeReport,
   ServerReport,
   SoundReport,
 } from "../protocol/mod.ts";
@@ -50,6 +51,10 @@
   readonly crashReports: () => readonly CrashReport[];
   /** Called when another router reports a crash or a sound response. */
   readonly onReport: (report: CrashReport | SoundReport) => void;
+  /** What servers have said of themselves, for a new admission controller. */
+  readonly serverNotices: () => readonly ServerNoticeReport[];
+  /** Called when another router has reported what a server has said. */
+  readonly onServerNotice: (report: ServerNoticeReport) => void;
   /** Called when another router has reported a server's limit. */
   readonly onRequestLimit: (notice: RequestLimitNotice) => void;
   /** Called when the controller tells how a stream began. */
@@ -65,6 +70,7 @@
   | CrashReport
   | SoundReport
   | RequestLimitNotice
+  | ServerNoticeReport
   | OriginNotice
   | OriginQuery;
 
@@ -201,6 +207,7 @@
     // An admission controller that has restarted knows no limit.
     if (this.#limitNotice !== null) connection.send(this.#limitNotice);
     for (const report of this.#deps.crashReports()) connection.send(report);
+    for (const report of this.#deps.serverNotices()) connection.send(report);
     // "Gate" in log events means the admission controller.
     this.#deps.events.info("gate-connected", { gate });
     this.#deps.onConnection();
@@ -231,6 +238,9 @@
       case "sound-report":
         this.#deps.onReport(message);
         return;
+      case "server-notice":
+        this.#deps.onServerNotice(message);
+        return;
       case "request-limit":
         this.#deps.onRequestLimit(message);
         return;
--- a/src/direct/admission_clients.ts
+++ b/src/direct/admission_clients.ts
@@ -8,6 +8,7 @@
   EngineConfiguration,
   OriginAnswer,
   RequestLimitNotice,
+  ServerNoticeReport,
   SoundReport,
 } from "../protocol/mod.ts";
 import type { RouteTable } from "../routing/mod.ts";
@@ -36,6 +37,10 @@
   crashReports(): readonly CrashReport[];
   /** Called when another router reports a crash or a sound response. */
   onReport(report: CrashReport | SoundReport): void;
+  /** What servers have said of themselves, for a new admission controller. */
+  serverNotices(): readonly ServerNoticeReport[];
+  /** Called when another router reports what a server has said of itself. */
+  onServerNotice(report: ServerNoticeReport): void;
   /** Called when another router reports a limit. */
   onRequestLimit(notice: RequestLimitNotice): void;
   /** Called when an admission controller tells how a stream began. */
@@ -55,10 +60,10 @@
 }
 
 /**
- * Admission controllers that relay a limit to the other routers: a second one,
- * because the first may be cut off from some of them.
+ * Admission controllers that relay what a server has stated to the other
+ * routers: a second one, because the first may be cut off from some of them.
  */
-const LIMIT_RELAYS = 2;
+const RELAYS = 2;
 
 /** One client for each host that runs an engine. */
 export class AdmissionClients {
@@ -131,10 +136,24 @@
     observation: LimitObservation,
   ): void {
     const notice = limitNotice(server, observation, this.#deps);
-    const connected = [...this.#entries.values()]
+    for (const client of this.#connected.slice(0, RELAYS)) client.send(notice);
+  }
+
+  /**
+   * Tells the other routers what a server has said of itself. Its own admission
+   * controller, if it has one, issues no more permits for it.
+   */
+  shareServerNotice(host: string, report: ServerNoticeReport): void {
+    const own = this.#entries.get(host)?.client ?? null;
+    const relays = this.#connected.filter((client) => client !== own);
+    own?.send(report);
+    for (const client of relays.slice(0, RELAYS)) client.send(report);
+  }
+
+  get #connected(): AdmissionClient[] {
+    return [...this.#entries.values()]
       .map(({ client }) => client)
       .filter((client) => client.connected);
-    for (const client of connected.slice(0, LIMIT_RELAYS)) client.send(notice);
   }
 
   /** Closes all connections. */
@@ -154,6 +173,8 @@
       onChange: () => this.#callbacks.onChange(),
       crashReports: () => this.#callbacks.crashReports(),
       onReport: (report) => this.#callbacks.onReport(report),
+      serverNotices: () => this.#callbacks.serverNotices(),
+      onServerNotice: (report) => this.#callbacks.onServerNotice(report),
       onRequestLimit: (notice) => this.#callbacks.onRequestLimit(notice),
       onOrigin: (answer) => this.#callbacks.onOrigin(answer),
       onConnection: () => this.#callbacks.onConnection(host),
--- a/src/direct/dialect.ts
+++ b/src/direct/dialect.ts
@@ -2,7 +2,7 @@
 
 import type { IncomingHttpHeaders } from "node:http";
 import type { Result } from "neverthrow";
-import type { BackendServer } from "../directory/mod.ts";
+import type { BackendServer, ServerNotice } from "../directory/mod.ts";
 import type { Prompt } from "../scheduling/mod.ts";
 
 /** What a caller states in its request's headers. */
@@ -39,6 +39,8 @@
   readonly authentic: boolean;
   /** Requests per second that the server takes from all routers together. */
   readonly requestLimit: StatedLimit;
+  /** What the server says of itself; empty if it takes requests as usual. */
+  readonly notices: readonly ServerNotice[];
 }
 
 /** What the router states in the headers that it sends to a server. */
--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -4,7 +4,14 @@
 import { systemClock } from "../common/clock.ts";
 import type { EventLog } from "../common/event_log.ts";
 import { sleep } from "../common/promises.ts";
-import { ServerDirectory, VersionHistory } from "../directory/mod.ts";
+import {
+  packNotice,
+  ServerDirectory,
+  type ServerNotice,
+  type ServerStart,
+  unpackNotice,
+  VersionHistory,
+} from "../directory/mod.ts";
 import { TeamShares, TeamTally } from "../fairness/mod.ts";
 import * as metrics from "../metrics/mod.ts";
 import type { RequestLimitNotice } from "../protocol/mod.ts";
@@ -41,7 +48,7 @@
 /** Interval of the log lines that tell what became of each team's requests. */
 const TEAM_LOG_INTERVAL_MS = 1_000;
 /** Ends of requests in whose intervals the teams are logged. */
-const LOGGED_ENDS = ["no-room", "limited", "overloaded"];
+const LOGGED_ENDS = ["no-room", "paused", "limited", "overloaded"];
 /** Teams per interval that are logged. */
 const LOGGED_TEAMS = 8;
 const SWEEP_INTERVAL_MS = 100;
@@ -97,6 +104,14 @@
         onChange: () => this.#handleAdmissionChange(),
         crashReports: () => this.#crashGuard.reports(),
         onReport: (report) => this.#crashGuard.receive(report),
+        serverNotices: () =>
+          this.directory.notices.current.map(({ start, notice }) =>
+            packNotice(start, notice),
+          ),
+        onServerNotice: (report) => {
+          const { start, notice } = unpackNotice(report);
+          this.#applyNotice(start, notice, null);
+        },
         onRequestLimit: (notice) => this.#handleRequestLimit(notice),
         onOrigin: (answer) => this.#origins.receive(answer),
         onConnection: (host) => this.#origins.handleHolderChange(host),
@@ -112,7 +127,7 @@
       send: (report) => this.#admissionClients.sendReport(report),
     });
     this.#scheduler = new Scheduler({
-      ...{ clock, availabilityZone },
+      ...{ clock, availabilityZone, notices: this.directory.notices },
       admissionOf: (server) => this.#admissionClients.of(server),
       shareRequestLimit: (server, observation) =>
         this.#admissionClients.shareRequestLimit(server, observation),
@@ -125,6 +140,13 @@
       retryBudget: this.#retryBudget,
       crashGuard: this.#crashGuard,
       origins: this.#origins,
+      onServerNotice: (server, notice, request) => {
+        if (this.#applyNotice(server, notice, request))
+          this.#admissionClients.shareServerNotice(
+            server.host,
+            packNotice(server, notice),
+          );
+      },
       metrics: this.#metrics,
       teamTally: this.#teamTally,
       teamShares: new TeamShares(clock),
@@ -230,6 +252,10 @@
       "oriole_limited_servers",
       () => this.#scheduler.limitedServers,
     );
+    registry.gauge(
+      "oriole_server_notices",
+      () => this.directory.notices.current.length,
+    );
     registry.gauge("oriole_quarantined", () => this.#crashGuard.suspects);
     registry.gauge("oriole_crash_causes", () => this.#crashGuard.causes);
     registry.gauge(
@@ -284,6 +310,26 @@
     this.#scheduler.dispatchAll();
   }
 
+  /**
+   * Applies what a server has said of itself; returns whether it is news.
+   *
+   * @param request id of the request it responded to; null if another router
+   *   has reported it
+   */
+  #applyNotice(
+    start: ServerStart,
+    notice: ServerNotice,
+    request: string | null,
+  ): boolean {
+    if (!this.directory.note(start, notice)) return false;
+    const forMs = notice.type === "paused" ? Math.round(notice.forMs) : null;
+    const fields = { server: start.id, notice: notice.type, forMs, request };
+    this.#events.info("server-notice", fields);
+    const server = this.directory.get(start.id);
+    if (server !== null) this.#scheduler.applyNotice(server.service);
+    return true;
+  }
+
   #isReady(): boolean {
     if (this.#closing || this.configuration.table === null) return false;
     // Other routers may still reach the store.
--- a/src/direct/exchange.ts
+++ b/src/direct/exchange.ts
@@ -282,6 +282,8 @@
       case "unsent":
         this.#endCancelled(sender);
         return DONE;
+      case "withdrawn":
+        return RETRY;
       case "unreachable":
         return this.#handleConnectFailure(sender);
       case "not-run":
@@ -307,7 +309,10 @@
       return DONE;
     }
     const sentence = "The server rejected the request without running it";
-    const retryAfterMs = SHORT_RETRY_AFTER_MS;
+    const retryAfterMs = Math.max(
+      SHORT_RETRY_AFTER_MS,
+      this.#deps.scheduler.pauseDelayMs(sender.service),
+    );
     this.#fail(notRun(503, "server-full", { sentence, retryAfterMs }));
     return DONE;
   }
--- a/src/direct/hedged_send.ts
+++ b/src/direct/hedged_send.ts
@@ -184,6 +184,7 @@
     case "failed":
     case "not-run":
     case "unreachable":
+    case "withdrawn":
       return true;
     case "complete":
     case "aborted":
--- a/src/direct/request_sender.ts
+++ b/src/direct/request_sender.ts
@@ -3,7 +3,7 @@
 import type { IncomingMessage } from "node:http";
 import type { Clock } from "../common/clock.ts";
 import type { EventLog } from "../common/event_log.ts";
-import type { BackendServer } from "../directory/mod.ts";
+import type { BackendServer, ServerNotice } from "../directory/mod.ts";
 import type { StreamOrigin } from "../origins/mod.ts";
 import type {
   Decision,
@@ -56,6 +56,12 @@
   readonly retryBudget: RetryBudget;
   readonly crashGuard: CrashGuard;
   readonly origins: StreamOrigins;
+  /** Called with what a server says of itself. */
+  readonly onServerNotice: (
+    server: BackendServer,
+    notice: ServerNotice,
+    request: string,
+  ) => void;
 }
 
 /** One request and the response to its caller. */
@@ -104,6 +110,11 @@
     });
   }
 
+  /** Service that it is sent to. */
+  get service(): string {
+    return this.#options.admitted.service;
+  }
+
   /** Whether a server may have run the request. */
   get mayHaveRun(): boolean {
     return this.#mayHaveRun;
@@ -256,7 +267,10 @@
           withholdsFailures: role === "backup" || this.isRepeatable,
           splitter: this.#progress && new EventSplitter(this.#progress),
           streaming: admitted.route.streaming,
-          onHead: (terms) => this.#recordLimit(placement, terms),
+          onHead: (terms) => {
+            this.#recordLimit(placement, terms);
+            this.#recordNotices(placement, terms);
+          },
           onData: () => this.#recordData(placement, progress),
           silenceTimeoutMs: this.#silenceTimeoutMs,
         }),
@@ -313,6 +327,11 @@
     this.#deps.events.info("request-limit", { server, requestsPerS, request });
   }
 
+  #recordNotices({ server }: Placement, { notices }: ResponseTerms): void {
+    const { id } = this.#options.record.logFields;
+    for (const notice of notices) this.#deps.onServerNotice(server, notice, id);
+  }
+
   #recordData(placement: Placement, progress: ResponseProgress): void {
     if (!progress.hasData) {
       placement.noteFirstToken();
@@ -348,6 +367,7 @@
         return;
       case "not-run":
       case "unsent":
+      case "withdrawn":
         return;
       default:
         end satisfies never;
--- a/src/direct/server_send.ts
+++ b/src/direct/server_send.ts
@@ -16,7 +16,9 @@
   /** No connection could be opened. */
   | { readonly type: "unreachable"; readonly failure: ConnectionFailure }
   /** Cancelled before anything was sent. */
-  | { readonly type: "unsent" };
+  | { readonly type: "unsent" }
+  /** The server stopped taking requests before anything was sent. */
+  | { readonly type: "withdrawn" };
 
 /** What is sent, and how the response is relayed. */
 export interface ServerSendOptions {
@@ -93,6 +95,7 @@
     if (this.#abandonedAs !== null || cancelSignal.aborted || isCancelled()) {
       return { type: "unsent" };
     }
+    if (!this.placement.isOpen()) return { type: "withdrawn" };
     const sent = request();
     this.#relay = createRelay(connection);
     return await this.#relay.run(sent, cancelSignal);
@@ -113,6 +116,7 @@
     case "aborted":
     case "abandoned":
     case "unsent":
+    case "withdrawn":
       return "neutral";
     default:
       return end satisfies never;
--- a/src/directory/backend_server.ts
+++ b/src/directory/backend_server.ts
@@ -20,7 +20,10 @@
 }
 
 /** Key of one start of a server. */
-export function startKeyOf({ id, startedAtMs }: BackendServer): string {
+export function startKeyOf({
+  id,
+  startedAtMs,
+}: Pick<BackendServer, "id" | "startedAtMs">): string {
   return `${id} ${startedAtMs}`;
 }
 
--- a/src/directory/server_directory.ts
+++ b/src/directory/server_directory.ts
@@ -12,6 +12,8 @@
 import type { Clock } from "../common/clock.ts";
 import type { BackendServer } from "./backend_server.ts";
 import { isSameStart, startKeyOf } from "./backend_server.ts";
+import type { ServerNotice, ServerStart } from "./server_notice.ts";
+import { ServerNotices } from "./server_notices.ts";
 
 /** Time in which live servers register again after a registry outage. */
 export const REGISTRATION_GRACE_MS = 2_000;
@@ -40,6 +42,8 @@
 
 /** The known servers by id; notifies listeners of changes. */
 export class ServerDirectory {
+  /** What servers have said of themselves. */
+  readonly notices: ServerNotices;
   readonly #clock: Clock;
   readonly #servers = new Map<string, BackendServer>();
   /** End of the grace period, in monotonic ms, of servers without an entry. */
@@ -55,6 +59,7 @@
 
   constructor(clock: Clock) {
     this.#clock = clock;
+    this.notices = new ServerNotices(clock);
   }
 
   /** Adds a listener that is called on each change. */
@@ -98,6 +103,18 @@
     this.#restoredAtMs = this.#clock.monotonicMs();
   }
 
+  /**
+   * Records what a server has said of itself; returns whether it is news. A
+   * server that leaves counts as draining, whatever its entry says.
+   */
+  note(start: ServerStart, notice: ServerNotice): boolean {
+    if (!this.notices.note(start, notice)) return false;
+    const known = this.#servers.get(start.id);
+    if (notice.type === "leaving" && known?.startedAtMs === start.startedAtMs)
+      this.#set(known);
+    return true;
+  }
+
   /** Replaces all entries by the full list of the registry. */
   replaceAll(servers: readonly BackendServer[]): void {
     const listed = new Set(servers.map(({ id }) => id));
@@ -121,7 +138,9 @@
     const known = this.#servers.get(server.id);
     // A server that drains doesn't become ready again; an older copy of its
     // entry may say so.
-    const state = known?.state === "draining" ? "draining" : server.state;
+    const isDraining =
+      known?.state === "draining" || this.notices.isLeaving(server);
+    const state = isDraining ? "draining" : server.state;
     const current = { ...server, state };
     this.#servers.set(server.id, current);
     const type = known === undefined ? "joined" : "changed";
--- a/src/protocol/admission_messages.ts
+++ b/src/protocol/admission_messages.ts
@@ -94,6 +94,18 @@
   readonly ageMs: number;
 }
 
+/** Reports what a server has said of itself in a response. */
+export interface ServerNoticeReport {
+  readonly type: "server-notice";
+  readonly server: string;
+  /** Start of the server, in Unix milliseconds; 0 when it isn't known. */
+  readonly startedAtMs: number;
+  /** Whether it leaves, or takes no request for a time. */
+  readonly notice: "leaving" | "paused";
+  /** Rest of the pause in milliseconds; 0 for a server that leaves. */
+  readonly remainingMs: number;
+}
+
 /** A team's recent usage at one server. */
 export type TeamUsage = readonly [team: string, usage: number];
 
--- a/src/protocol/field_numbers.ts
+++ b/src/protocol/field_numbers.ts
@@ -28,7 +28,7 @@
   ...["privateTokens", "asks", "askedTokens", "tokensPerMs", "routers"],
   ...["cacheTokens", "server", "startedAtMs", "copiedTokens", "failureShare"],
   ...["ageMs", "requests", "suspects", "requestsPerS", "freeSlots"],
-  ...["request", "softwareVersion", "cacheLifetimeMs"],
+  ...["request", "softwareVersion", "cacheLifetimeMs", "notice"],
 ] as const;
 
 /** Number of each field name. */
--- a/src/protocol/message.ts
+++ b/src/protocol/message.ts
@@ -9,6 +9,7 @@
   PermitWithdrawal,
   RequestLimitNotice,
   RunningRequest,
+  ServerNoticeReport,
   ServerReport,
 } from "./admission_messages.ts";
 import type {
@@ -114,6 +115,7 @@
   | FirstEventNotice
   | PermitRelease
   | RequestLimitNotice
+  | ServerNoticeReport
   | Permit
   | ServerReport
   | OriginNotice
--- a/src/protocol/schema.ts
+++ b/src/protocol/schema.ts
@@ -155,6 +155,10 @@
   withdraw: { ask: count },
   begun: { ask: count },
   finished: { ask: count, outcome: { enum: ["served", "failed", "neutral"] } },
+  "server-notice": {
+    ...{ server: text, startedAtMs: count, remainingMs: amount },
+    notice: { enum: ["leaving", "paused"] },
+  },
   "request-limit": {
     server: text,
     startedAtMs: amount,
--- a/src/scheduling/refusal.ts
+++ b/src/scheduling/refusal.ts
@@ -11,6 +11,8 @@
 export type Reason =
   | "no-server"
   | "no-room"
+  /** No server that may get the request takes any for a time. */
+  | "paused"
   /** The limits that all servers name leave no room in time. */
   | "limited"
   | "too-late"
@@ -31,6 +33,11 @@
 const RETRY_AFTER_SHARE = 0.3;
 /** Largest random addition to a retry delay, as a share of it. */
 const RETRY_JITTER_SHARE = 0.5;
+/**
+ * Largest random addition to the rest of a pause, as a share of it: its end is
+ * known, and from then on the server is idle.
+ */
+const PAUSE_JITTER_SHARE = 0.1;
 /** Limits change with the load of servers, so a longer wait isn't foreseen. */
 const MAX_RETRY_AFTER_MS = 10_000;
 /** Retry delay of a caller whose service has no server. */
@@ -43,6 +50,8 @@
   readonly nowMs: number;
   /** Number of the service's servers that are ready. */
   readonly servers: number;
+  /** Time until one of the servers takes requests; 0 if any does now. */
+  readonly pauseMs: number;
   /** Expected wait for the limits that all servers name; 0 without limits. */
   readonly limitDelayMs: number;
 }
@@ -52,7 +61,7 @@
   demand: Demand,
   context: ArrivalContext,
 ): ArrivalDecision {
-  const { nowMs, servers, limitDelayMs } = context;
+  const { nowMs, servers, pauseMs, limitDelayMs } = context;
   const retryAfterMs = retryDelayMs(demand, limitDelayMs);
   const leftMs = demand.deadlineAtMs - nowMs;
   if (leftMs <= 0) return { maxWaitMs: 0, reason: "too-late", retryAfterMs };
@@ -61,6 +70,10 @@
     const delayMs = noServerDelayMs();
     return { maxWaitMs: 0, reason: "no-server", retryAfterMs: delayMs };
   }
+  if (pauseMs > 0) {
+    const delayMs = pauseDelayMs(pauseMs);
+    return { maxWaitMs: 0, reason: "paused", retryAfterMs: delayMs };
+  }
   if (limitDelayMs > maxWaitMs)
     return { maxWaitMs: 0, reason: "limited", retryAfterMs };
   return { maxWaitMs, reason: "no-room", retryAfterMs };
@@ -71,6 +84,14 @@
   return withJitter(NO_SERVER_RETRY_AFTER_MS);
 }
 
+/**
+ * Delay in milliseconds after which a caller should retry that comes while all
+ * servers are paused: not before the first of them takes requests.
+ */
+export function pauseDelayMs(pauseMs: number): number {
+  return pauseMs * (1 + PAUSE_JITTER_SHARE * Math.random());
+}
+
 /**
  * Returns the latest time at which a request may be placed if connections are
  * closed at `closeAtMs`: a server may take the rest of the objective.
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -1,7 +1,11 @@
 /** Schedules the requests of one router: places, queues or refuses each. */
 
 import type { Clock } from "../common/clock.ts";
-import type { BackendServer, DirectoryChange } from "../directory/mod.ts";
+import type {
+  BackendServer,
+  DirectoryChange,
+  ServerNotices,
+} from "../directory/mod.ts";
 import * as fairness from "../fairness/mod.ts";
 import type { Engine, RouteTable } from "../routing/mod.ts";
 import type { Demand, Prompt } from "./demand.ts";
@@ -33,6 +37,8 @@
    * for none.
    */
   readonly source: BackendServer | null;
+  /** Whether the server still takes requests; asked just before sending. */
+  isOpen(): boolean;
   /** Call when the first token has arrived. */
   noteFirstToken(): void;
   /**
@@ -62,6 +68,8 @@
 export interface SchedulerOptions {
   readonly clock: Clock;
   readonly availabilityZone: string;
+  /** What servers have said of themselves. */
+  readonly notices: ServerNotices;
   /** Returns the client of a server's admission controller; null for none. */
   readonly admissionOf: (server: BackendServer) => EngineAdmission | null;
   /**
@@ -172,8 +180,12 @@
       default:
         change satisfies never;
     }
-    this.#requeueFromUnready();
-    this.#dispatch(server.service);
+    this.#handleClosedServers(server.service);
+  }
+
+  /** Applies what a server of the service has said of itself. */
+  applyNotice(service: string): void {
+    this.#handleClosedServers(service);
   }
 
   /**
@@ -190,6 +202,7 @@
       {
         nowMs,
         servers: this.#countReady(demand),
+        pauseMs: this.#pauseMs(demand),
         limitDelayMs: this.#limitDelayMs(demand),
       },
     );
@@ -232,6 +245,15 @@
     for (const service of this.#queues.keys()) this.#dispatch(service);
   }
 
+  /**
+   * Retry-After in milliseconds while all ready servers of a service are
+   * paused; 0 if one takes requests.
+   */
+  pauseDelayMs(service: string): number {
+    const loads = this.#loadsOf(service).filter(isReady);
+    return refusal.pauseDelayMs(this.#shortestPauseMs(loads));
+  }
+
   /** Refuses requests that wait once they can't be served by `closeAtMs`. */
   drain(closeAtMs: number): void {
     this.#closeAtMs = closeAtMs;
@@ -262,7 +284,7 @@
   #dispatch(service: string): void {
     const queue = this.#queues.get(service);
     if (queue === undefined || queue.size === 0) return;
-    const loads = this.#loadsOf(service);
+    const loads = this.#openLoadsOf(service);
     const context = this.#placementContext;
     queue.dispatch((pending) => this.#tryPlace(pending, loads, context));
   }
@@ -327,6 +349,7 @@
     let ended = false;
     this.#settle(pending, {
       ...{ type: "placed", server: load.server, uncachedTokens, source },
+      isOpen: () => this.#isOpen(load.server),
       noteFirstToken: () => {
         permit?.begun();
         this.#noteFirstToken(load, run);
@@ -362,14 +385,47 @@
     this.#queueOf(pending.demand.service).add(pending);
   }
 
-  /** Requeues requests that await a permit for a server no longer ready. */
-  #requeueFromUnready(): void {
-    for (const pending of this.#pending) {
-      if (pending.state.type !== "awaiting-permit") continue;
-      const load = this.#loads.get(pending.state.server);
-      if (load?.server.state === "ready") continue;
-      this.#requeue(pending);
+  /** Moves requests away from servers that take no more, or refuses them. */
+  #handleClosedServers(service: string): void {
+    for (const pending of [...this.#pending]) {
+      const { state, demand } = pending;
+      if (demand.service !== service) continue;
+      const pauseMs = this.#pauseMs(demand);
+      if (pauseMs > 0) this.#refuseAsPaused(pending, pauseMs);
+      else if (state.type === "awaiting-permit") {
+        const server = this.#loads.get(state.server)?.server;
+        if (server === undefined || !this.#isOpen(server))
+          this.#requeue(pending);
+      }
     }
+    this.#dispatch(service);
+  }
+
+  /** Whether the server, as it has started, takes requests. */
+  #isOpen({ id, startedAtMs }: BackendServer): boolean {
+    const server = this.#loads.get(id)?.server;
+    return (
+      server?.startedAtMs === startedAtMs &&
+      server.state === "ready" &&
+      this.#options.notices.pauseLeftMs(server) === 0
+    );
+  }
+
+  /** Time until a server takes the request; 0 if one does now, or none ever. */
+  #pauseMs(demand: Demand): number {
+    const eligible = this.#eligibleLoads(demand);
+    // One that was sent to every server may be sent to them as a new request.
+    return this.#shortestPauseMs(
+      eligible.length > 0
+        ? eligible
+        : this.#loadsOf(demand.service).filter(isReady),
+    );
+  }
+
+  #shortestPauseMs(loads: readonly ServerLoad[]): number {
+    if (loads.length === 0) return 0;
+    const { notices } = this.#options;
+    return Math.min(...loads.map(({ server }) => notices.pauseLeftMs(server)));
   }
 
   /** Recent usage by a request's team at all engines but one. */
@@ -461,6 +517,14 @@
     });
   }
 
+  #refuseAsPaused(pending: Request, pauseMs: number): void {
+    this.#settle(pending, {
+      ...{ type: "refused", reason: "paused" },
+      retryAfterMs: refusal.pauseDelayMs(pauseMs),
+      awaitedServer: awaitedServerOf(pending),
+    });
+  }
+
   #refuseAsStopping(pending: Request): void {
     this.#settle(pending, refusedAsStopping(awaitedServerOf(pending)));
   }
@@ -476,7 +540,7 @@
     if (waitedMs < demand.objectiveMs * OTHER_ENGINE_AFTER_SHARE) return;
     const choice = chooseServer(
       demand,
-      this.#loadsOf(demand.service),
+      this.#openLoadsOf(demand.service),
       this.#placementContext,
     );
     if (choice !== null && choice.load.id !== state.server) {
@@ -502,19 +566,27 @@
     );
   }
 
+  #openLoadsOf(service: string): ServerLoad[] {
+    const { notices } = this.#options;
+    return this.#loadsOf(service).filter(
+      ({ server }) => notices.pauseLeftMs(server) === 0,
+    );
+  }
+
   /** Servers that the request may be sent to. */
   #countReady(demand: Demand): number {
     // Another version may not go on with the stream, now or later.
     if (demand.version !== null) return this.#eligibleLoads(demand).length;
-    return this.#loadsOf(demand.service).filter(
-      ({ server }) => server.state === "ready",
-    ).length;
+    return this.#loadsOf(demand.service).filter(isReady).length;
   }
 
   /** Expected wait for limits, if all servers for the request name one. */
   #limitDelayMs(demand: Demand): number {
     const { service } = demand;
-    const loads = this.#eligibleLoads(demand);
+    const { notices } = this.#options;
+    const loads = this.#eligibleLoads(demand).filter(
+      ({ server }) => notices.pauseLeftMs(server) === 0,
+    );
     const queue = this.#queueOf(service);
     return limitDelayMs(demand, {
       ...{ loads, share: this.#routerShare, queued: queue.size },
@@ -558,6 +630,10 @@
   }
 }
 
+function isReady({ server }: ServerLoad): boolean {
+  return server.state === "ready";
+}
+
 function awaitedServerOf({ state }: Request): string | null {
   return state.type === "awaiting-permit" ? state.server : null;
 }
--- a/tests/direct/admission_clients_test.ts
+++ b/tests/direct/admission_clients_test.ts
@@ -39,6 +39,8 @@
       onChange: () => {},
       crashReports: () => [],
       onReport: () => {},
+      serverNotices: () => [],
+      onServerNotice: () => {},
       onRequestLimit: () => {},
       onOrigin: () => {},
       onConnection: () => {},
--- a/tests/direct/hedged_send_test.ts
+++ b/tests/direct/hedged_send_test.ts
@@ -43,7 +43,12 @@
   const options = { id, host: "127.0.0.1", port: 1, slots: 8, startedAtMs: 0 };
   return {
     ...{ type: "placed", server: createServer(options), uncachedTokens: 0 },
-    ...{ source: null, noteFirstToken: () => {}, release: () => {} },
+    ...{
+      source: null,
+      isOpen: () => true,
+      noteFirstToken: () => {},
+      release: () => {},
+    },
     noteRequestLimit: () => false,
   };
 }
--- a/tests/scheduling/closing_test.ts
+++ b/tests/scheduling/closing_test.ts
@@ -2,6 +2,7 @@
 
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { ServerNotices } from "../../src/directory/mod.ts";
 import { Scheduler } from "../../src/scheduling/mod.ts";
 import { createServer } from "../support/servers.ts";
 import { createDemand } from "./demands.ts";
@@ -10,8 +11,10 @@
 
 /** Returns a scheduler whose only server has no room, at a fixed time. */
 async function createFullScheduler(): Promise<Scheduler> {
+  const clock = { monotonicMs: () => 1_000, wallMs: () => 1_000 };
   const scheduler = new Scheduler({
-    clock: { monotonicMs: () => 1_000, wallMs: () => 1_000 },
+    clock,
+    notices: new ServerNotices(clock),
     availabilityZone: "a",
     admissionOf: () => null,
     shareRequestLimit: () => {},
