Rank engines without a cache that is smaller than its working set

Cause: every placement ranks all engines for the prompt's prefix. Class of fault: a cache bounded below its working set, which costs more than no cache.

Change: topRanked computes a cheap hash for each member and keeps only the members that are asked for; no cache. The hash is the one that origins of streams were placed by. Counting routers and adding up usage no longer allocate.

--- a/src/direct/stream_origins.ts
+++ b/src/direct/stream_origins.ts
@@ -18,7 +18,7 @@
   type StreamOrigin,
 } from "../origins/mod.ts";
 import type { OriginAnswer } from "../protocol/mod.ts";
-import { rankOnce } from "../scheduling/mod.ts";
+import { topRanked } from "../scheduling/mod.ts";
 import {
   agreedRecord,
   type OriginHolder,
@@ -213,7 +213,7 @@
     // The stream breaks with the server's host, and its controller is lost too.
     const others = holders.filter(({ id }) => id !== host);
     const candidates = others.length > 0 ? others : holders;
-    const chosen = rankOnce(request, candidates).slice(0, COPIES);
+    const chosen = topRanked(request, candidates, COPIES);
     const outdated = holders.filter(({ id }) => everHeld.has(id));
     for (const holder of new Set([...chosen, ...outdated])) {
       if (current.has(holder.id)) continue;
@@ -225,7 +225,7 @@
 
   /** Finds the record at admission controllers; null if they know none. */
   async #query(request: string): Promise<OriginRecord | null> {
-    const holders = rankOnce(request, this.#deps.holders()).slice(0, QUERIED);
+    const holders = topRanked(request, this.#deps.holders(), QUERIED);
     return agreedRecord(await this.#queries.ask(request, holders));
   }
 }
--- a/src/scheduling/engine_candidates.ts
+++ b/src/scheduling/engine_candidates.ts
@@ -2,7 +2,7 @@
 
 import type { Demand, Prompt } from "./demand.ts";
 import { ownersOf } from "./prefix_owners.ts";
-import { rankOnce } from "./rendezvous.ts";
+import { topRanked } from "./rendezvous.ts";
 import type { ServerLoad } from "./server_load.ts";
 
 /**
@@ -45,6 +45,6 @@
   const others =
     unlimited.length > 0
       ? ownersOf(prompt.parts, unlimited)
-      : rankOnce(demand.requestId, usable).slice(0, LIMITED_CANDIDATES);
+      : topRanked(demand.requestId, usable, LIMITED_CANDIDATES);
   return new Set([...owners, ...others]);
 }
--- a/src/scheduling/mod.ts
+++ b/src/scheduling/mod.ts
@@ -12,7 +12,7 @@
 export { PrefillRate, SMALLEST_SAMPLE_TOKENS } from "./prefill_rate.ts";
 export { ownersOf } from "./prefix_owners.ts";
 export { SHORT_RETRY_AFTER_MS } from "./refusal.ts";
-export { rankOnce } from "./rendezvous.ts";
+export { topRanked } from "./rendezvous.ts";
 export { type LimitObservation, RequestLimit } from "./request_limit.ts";
 export {
   type RequestInFlight,
--- a/src/scheduling/prefix_owners.ts
+++ b/src/scheduling/prefix_owners.ts
@@ -2,7 +2,7 @@
 
 import type { BackendServer } from "../directory/mod.ts";
 import { type Prompt, type PromptPart, sharedParts } from "./demand.ts";
-import { rank } from "./rendezvous.ts";
+import { topRanked } from "./rendezvous.ts";
 import type { ServerLoad } from "./server_load.ts";
 
 /**
@@ -34,7 +34,7 @@
 ): readonly T[] {
   const lastShared = sharedParts(parts).at(-1);
   if (lastShared === undefined) return usable;
-  return rank(lastShared.id, usable).slice(0, OWNERS_PER_PREFIX);
+  return topRanked(lastShared.id, usable, OWNERS_PER_PREFIX);
 }
 
 /** Another owner of the prefix, if copying from its cache is fast enough. */
--- a/src/scheduling/rendezvous.ts
+++ b/src/scheduling/rendezvous.ts
@@ -1,43 +1,38 @@
-/** Rendezvous hashing: all routers rank engines alike without messages. */
-
-import { createHash } from "node:crypto";
-
-/** Cache of weights by key and member; hashing dominates the cost. */
-const weights = new Map<string, number>();
-/** Size of the cache; it is cleared when full, as weights are recomputable. */
-const WEIGHTS_LIMIT = 50_000;
+/** Rendezvous hashing: all routers rank members alike without messages. */
 
 const FNV_OFFSET_BASIS = 0x811c9dc5;
 const FNV_PRIME = 0x01000193;
 
-/** Returns the members by descending weight: the key's owner is first. */
-export function rank<T extends { readonly id: string }>(
-  key: string,
-  members: readonly T[],
-): T[] {
-  return sortByWeight(members, (id) => weightOf(key, id));
+/** A member and its weight for the key. */
+interface Weighted<T> {
+  readonly member: T;
+  readonly weight: number;
 }
 
 /**
- * Like `rank`, for keys that are used only a few times: it computes a cheaper
- * hash and caches nothing.
+ * Returns the `count` members with the greatest weights for a key, by descending
+ * weight: the key's owner is first.
+ *
+ * Called for every request, with dozens of members: nothing is sorted or cached
+ * beyond the members that are returned.
  */
-export function rankOnce<T extends { readonly id: string }>(
+export function topRanked<T extends { readonly id: string }>(
   key: string,
   members: readonly T[],
+  count: number,
 ): T[] {
   const seed = hash(key, FNV_OFFSET_BASIS);
-  return sortByWeight(members, (id) => mix(hash(id, seed)));
-}
-
-function sortByWeight<T extends { readonly id: string }>(
-  members: readonly T[],
-  weigh: (id: string) => number,
-): T[] {
-  return members
-    .map((member) => ({ member, weight: weigh(member.id) }))
-    .sort((a, b) => b.weight - a.weight)
-    .map(({ member }) => member);
+  const top: Weighted<T>[] = [];
+  for (const member of members) {
+    const weight = mix(hash(member.id, seed));
+    const last = top.at(-1);
+    if (top.length === count && last !== undefined && weight <= last.weight)
+      continue;
+    const index = top.findIndex((other) => other.weight < weight);
+    top.splice(index === -1 ? top.length : index, 0, { member, weight });
+    if (top.length > count) top.pop();
+  }
+  return top.map(({ member }) => member);
 }
 
 /** FNV-1a over the code units of a text. */
@@ -54,13 +49,3 @@
   mixed = Math.imul(mixed ^ (mixed >>> 13), 0xc2b2ae35);
   return (mixed ^ (mixed >>> 16)) >>> 0;
 }
-
-function weightOf(key: string, member: string): number {
-  const name = `${key}\n${member}`;
-  const known = weights.get(name);
-  if (known !== undefined) return known;
-  if (weights.size >= WEIGHTS_LIMIT) weights.clear();
-  const weight = createHash("md5").update(name).digest().readUInt32BE();
-  weights.set(name, weight);
-  return weight;
-}
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -141,10 +141,10 @@
    * controller has reported, or `ASSUMED_ROUTERS` before any report.
    */
   get routers(): number {
-    const reported = [...this.#loads.values()].map(
-      ({ admission }) => admission?.report?.routers ?? 0,
-    );
-    return Math.max(...reported, 0) || ASSUMED_ROUTERS;
+    let reported = 0;
+    for (const { admission } of this.#loads.values())
+      reported = Math.max(reported, admission?.report?.routers ?? 0);
+    return reported || ASSUMED_ROUTERS;
   }
 
   /** Number of servers that name a limit on requests. */
@@ -430,8 +430,11 @@
 
   /** Recent usage by a request's team at all engines but one. */
   #usageElsewhere({ team, service }: Demand, { id }: ServerLoad): number {
-    const others = this.#loadsOf(service).filter((load) => load.id !== id);
-    return this.#usageAt(others, team) ?? 0;
+    let usage = 0;
+    for (const [otherId, { server, admission }] of this.#loads)
+      if (otherId !== id && server.service === service)
+        usage += admission?.usageOf(team) ?? 0;
+    return usage;
   }
 
   /** Recent usage by a team; null if no server has an admission controller. */
