--- a/src/directory/server_notices.ts
+++ b/src/directory/server_notices.ts
@@ -43,6 +43,11 @@
     this.#clock = clock;
   }
 
+  /** Whether no notice is remembered, in force or not. */
+  get isEmpty(): boolean {
+    return this.#byStart.size === 0;
+  }
+
   /** Records a notice; returns whether it is news. */
   note(start: ServerStart, notice: ServerNotice): boolean {
     const nowMs = this.#clock.monotonicMs();
@@ -73,7 +78,6 @@
 
   /** Time in milliseconds until a server takes requests again; 0 if it does. */
   pauseLeftMs(start: ServerStart): number {
-    if (this.#byStart.size === 0) return 0;
     const { pausedUntilMs } = this.#find(start);
     return Math.max(0, pausedUntilMs - this.#clock.monotonicMs());
   }
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -413,6 +413,7 @@
 
   /** Time until a server takes the request; 0 if one does now, or none ever. */
   #pauseMs(demand: Demand): number {
+    if (this.#options.notices.isEmpty) return 0;
     const eligible = this.#eligibleLoads(demand);
     // One that was sent to every server may be sent to them as a new request.
     return this.#shortestPauseMs(
@@ -569,11 +570,14 @@
     );
   }
 
-  #openLoadsOf(service: string): ServerLoad[] {
+  #openLoadsOf(service: string): readonly ServerLoad[] {
+    return this.#withoutPaused(this.#loadsOf(service));
+  }
+
+  #withoutPaused(loads: readonly ServerLoad[]): readonly ServerLoad[] {
     const { notices } = this.#options;
-    return this.#loadsOf(service).filter(
-      ({ server }) => notices.pauseLeftMs(server) === 0,
-    );
+    if (notices.isEmpty) return loads;
+    return loads.filter(({ server }) => notices.pauseLeftMs(server) === 0);
   }
 
   /** Servers that the request may be sent to. */
@@ -586,10 +590,7 @@
   /** Expected wait for limits, if all servers for the request name one. */
   #limitDelayMs(demand: Demand): number {
     const { service } = demand;
-    const { notices } = this.#options;
-    const loads = this.#eligibleLoads(demand).filter(
-      ({ server }) => notices.pauseLeftMs(server) === 0,
-    );
+    const loads = this.#withoutPaused(this.#eligibleLoads(demand));
     const queue = this.#queueOf(service);
     return limitDelayMs(demand, {
       ...{ loads, share: this.#routerShare, queued: queue.size },
