--- a/tests/admission/controller_test.ts
+++ b/tests/admission/controller_test.ts
@@ -9,6 +9,7 @@
   AdmissionController,
   type PermitReceiver,
 } from "../../src/admission/mod.ts";
+import { ServerNotices } from "../../src/directory/mod.ts";
 import type {
   EngineConfiguration,
   PermitRequest,
@@ -399,3 +400,26 @@
   controller.finish(router, blocker.ask, "served");
   assert.deepEqual(router.permits.slice(0, 2), [blocker.ask, poor.ask]);
 });
+
+for (const notice of [
+  { type: "paused", forMs: 3_000 },
+  { type: "leaving" },
+] as const) {
+  test(`an engine that is ${notice.type} gets no permits`, () => {
+    const clock = createManualClock();
+    const notices = new ServerNotices(clock);
+    const controller = new AdmissionController(clock, notices);
+    const router = createRouter();
+    controller.configure(createConfiguration());
+    notices.note({ id: "e1", startedAtMs: 1 }, notice);
+    controller.enqueue(router, createRequest("a"));
+    clock.advance(2_999);
+    controller.admitQueued();
+    assert.equal(router.permits.length, 0);
+    // A server that leaves is not admitted to later; one that restarts is.
+    if (notice.type === "paused") clock.advance(1);
+    else controller.configure(createConfiguration({ startedAtMs: 2 }));
+    controller.admitQueued();
+    assert.equal(router.permits.length, 1);
+  });
+}
--- a/tests/on_platform/decoders_test.ts
+++ b/tests/on_platform/decoders_test.ts
@@ -84,6 +84,25 @@
   assert.deepEqual(other.requestLimit, { type: "unstated" });
 });
 
+for (const [headers, status, expected] of [
+  [{ "server-leaving": "1" }, 200, [{ type: "leaving" }]],
+  [{ "server-leaving": "" }, 503, [{ type: "leaving" }]],
+  [{ "retry-after": "3" }, 503, [{ type: "paused", forMs: 3_000 }]],
+  [{ "retry-after": "0.25" }, 429, [{ type: "paused", forMs: 250 }]],
+  [{ "retry-after": "0" }, 503, []],
+  [{ "retry-after": "-1" }, 503, []],
+  [{ "retry-after": "soon" }, 503, []],
+  [{ "retry-after": "1e9" }, 503, []],
+  [{ "server-leaving": "1", "retry-after": "3" }, 421, []],
+  [{}, 200, []],
+] as const) {
+  const named = JSON.stringify(headers);
+  test(`a ${status} response with ${named} is understood`, () => {
+    const { notices } = headerDialect.readResponse(status, headers);
+    assert.deepEqual(notices, expected);
+  });
+}
+
 test("the server decoder never throws, whatever the entry holds", () => {
   fc.assert(
     fc.property(fc.anything(), (spec) => {
