--- a/src/common/connection_shedder.ts
+++ b/src/common/connection_shedder.ts
@@ -29,8 +29,8 @@
     this.#backlog = backlog;
   }
 
-  /** Decides on a connection that was just accepted; true to close it. */
-  takes(): boolean {
+  /** Whether a connection that was just accepted is to be closed unread. */
+  shouldClose(): boolean {
     const { standingMs } = this.#queue;
     if (standingMs === 0) this.#remaining = 0;
     else if (this.#remaining === 0 && standingMs >= MAX_STANDING_MS)
--- a/src/common/overload_guard.ts
+++ b/src/common/overload_guard.ts
@@ -87,7 +87,7 @@
     if (serve === undefined) throw new Error("Server takes no connections");
     server.off("connection", serve as (socket: Socket) => void);
     server.on("connection", (socket) => {
-      if (!this.#shedder.takes()) {
+      if (!this.#shedder.shouldClose()) {
         serve.call(server, socket);
         return;
       }
--- a/tests/common/connection_shedder_test.ts
+++ b/tests/common/connection_shedder_test.ts
@@ -27,25 +27,25 @@
 test("connections are served while the queue has stood for less than 250 ms", () => {
   const { queue, shedder } = createFixture();
   for (queue.standingMs = 0; queue.standingMs < 250; queue.standingMs += 1)
-    assert.equal(shedder.takes(), false);
+    assert.equal(shedder.shouldClose(), false);
 });
 
 test("a queue that has stood for 250 ms is closed once, then connections are served", () => {
   const { queue, shedder } = createFixture();
   queue.standingMs = 250;
   for (let count = 0; count < BACKLOG; count += 1)
-    assert.equal(shedder.takes(), true);
+    assert.equal(shedder.shouldClose(), true);
   assert.equal(queue.restarts, 1);
   queue.standingMs = 1;
-  assert.equal(shedder.takes(), false);
+  assert.equal(shedder.shouldClose(), false);
 });
 
 test("no connection is closed after the queue was found empty", () => {
   const { queue, shedder } = createFixture();
   queue.standingMs = 250;
-  assert.equal(shedder.takes(), true);
+  assert.equal(shedder.shouldClose(), true);
   queue.standingMs = 0;
-  assert.equal(shedder.takes(), false);
+  assert.equal(shedder.shouldClose(), false);
   queue.standingMs = 10;
-  assert.equal(shedder.takes(), false);
+  assert.equal(shedder.shouldClose(), false);
 });
--- a/tests/on_platform/server_notices_test.ts
+++ b/tests/on_platform/server_notices_test.ts
@@ -125,6 +125,15 @@
   ).length;
 }
 
+/** Calls a router until a server has told it that it takes no requests. */
+async function learnNotice(router: RunningRouter): Promise<void> {
+  const holds = async () => {
+    await call(router);
+    return eventsOf(router, "server-notice").length > 0;
+  };
+  await until("the router knows a notice", TIMEOUT_MS, { holds });
+}
+
 for (const service of ["m", "n"] as const) {
   const options = service === "m" ? { headers: ENGINE_HEADERS } : {};
   const name = service === "m" ? "engine" : "plain server";
@@ -256,12 +265,7 @@
       { service: "n" },
     );
     const router = await fleet.startRouter();
-    await until("it says so", TIMEOUT_MS, {
-      holds: async () => {
-        await call(router);
-        return eventsOf(router, "server-notice").length > 0;
-      },
-    });
+    await learnNotice(router);
     const before = said.arrivedAtMs.length;
     for (let count = 0; count < 20; count += 1) {
       broken.script = (received) => {
@@ -283,12 +287,7 @@
   const silent = await addServer(respondWith(), { service: "n" });
   const said = await addServer(respondWith([LEAVING]), { service: "n" });
   const router = await fleet.startRouter();
-  await until("it says so", TIMEOUT_MS, {
-    holds: async () => {
-      await call(router);
-      return eventsOf(router, "server-notice").length > 0;
-    },
-  });
+  await learnNotice(router);
   const before = said.arrivedAtMs.length;
   silent.script = (received) => {
     setTimeout(() => respondWith()(received), 1_000);
