Close connections unread one by one, not a queue's length of them

Cause: a queue counts as standing while each turn of the event loop accepts a connection. Under a slow loop that holds for a queue of one or two as well, and then 64 callers were sent away. Change: one connection is closed for each that is served, two after 500 ms, until a turn finds the queue empty. Pausing and the limit go by the standing queue as before, so noteShed and restart go.

--- a/src/common/accept_queue.ts
+++ b/src/common/accept_queue.ts
@@ -21,7 +21,7 @@
   | { readonly type: "empty" }
   | {
       readonly type: "standing";
-      sinceMs: number;
+      readonly sinceMs: number;
       reportedMs: number;
       accepted: number;
       turnStartMs: number;
@@ -65,12 +65,6 @@
     return this.#clock.monotonicMs() - state.sinceMs;
   }
 
-  /** Measures from now on: the connections that had waited are gone. */
-  restart(): void {
-    const state = this.#state;
-    if (state.type === "standing") state.sinceMs = this.#clock.monotonicMs();
-  }
-
   /** Connections accepted so far. */
   get accepted(): number {
     return this.#accepted;
--- a/src/common/concurrency_limit.ts
+++ b/src/common/concurrency_limit.ts
@@ -22,8 +22,6 @@
 const SHARE_LIMIT_FACTOR = 2;
 /** Some requests are served under any load. */
 const MIN_LIMIT = 4;
-/** Connections that are closed within this time belong to one overload. */
-const SHED_GAP_MS = 1_000;
 /** Time for which an overloaded server isn't ready the first time. */
 const FIRST_PAUSE_MS = 5_000;
 /** Bound of the pause, which doubles if the overload comes back with the load. */
@@ -57,8 +55,6 @@
   #acceptedBefore = 0;
   #readyAtMs = Number.NEGATIVE_INFINITY;
   #pauseMs = FIRST_PAUSE_MS;
-  #shedSinceMs = Number.NEGATIVE_INFINITY;
-  #shedAtMs = Number.NEGATIVE_INFINITY;
 
   /** @param options.backlog length of the queue */
   constructor(clock: Clock, { backlog }: { readonly backlog: number }) {
@@ -106,14 +102,6 @@
     return isAdmitted;
   }
 
-  /** Records that a connection was closed because others wait too long. */
-  noteShed(): void {
-    const nowMs = this.#clock.monotonicMs();
-    if (nowMs - this.#shedAtMs > SHED_GAP_MS) this.#shedSinceMs = nowMs;
-    this.#shedAtMs = nowMs;
-    if (nowMs - this.#shedSinceMs >= MAX_WAIT_MS) this.#pause(nowMs);
-  }
-
   /** Releases a request that was admitted. */
   release(): void {
     this.#inProgress -= 1;
--- a/src/common/connection_shedder.ts
+++ b/src/common/connection_shedder.ts
@@ -8,36 +8,45 @@
  * closed unread can still reach another router in time.
  */
 const MAX_STANDING_MS = 250;
+/** Connections closed for each that is served, at first. */
+const FIRST_CLOSED_PER_SERVED = 1;
+/** Time after which more are closed, if that hasn't emptied the queue. */
+const LONG_STANDING_MS = 500;
+/** Connections closed for each that is served from then on. */
+const MOST_CLOSED_PER_SERVED = 2;
 
 /** The queue of connections that wait to be accepted. */
-export type StandingQueue = Pick<AcceptQueue, "standingMs" | "restart">;
+export type StandingQueue = Pick<AcceptQueue, "standingMs">;
 
 /**
  * Closing a connection unread costs a small part of what refusing a request does,
- * which has to be read first. Once the queue has stood for too long, as many
- * connections are closed as it holds; those behind them have just come.
+ * which has to be read first. The queue is known to stand, but not how long it
+ * is: some of its connections are closed until it is found empty, so that a short
+ * queue costs few callers their connection.
  */
 export class ConnectionShedder {
   readonly #queue: StandingQueue;
-  readonly #backlog: number;
-  /** Connections to close before the next one is served. */
-  #remaining = 0;
+  /** Connections closed since one was served. */
+  #closedInRow = 0;
 
-  /** @param options.backlog length of the queue */
-  constructor(queue: StandingQueue, { backlog }: { readonly backlog: number }) {
+  constructor(queue: StandingQueue) {
     this.#queue = queue;
-    this.#backlog = backlog;
   }
 
   /** Whether a connection that was just accepted is to be closed unread. */
   shouldClose(): boolean {
-    const { standingMs } = this.#queue;
-    if (standingMs === 0) this.#remaining = 0;
-    else if (this.#remaining === 0 && standingMs >= MAX_STANDING_MS)
-      this.#remaining = this.#backlog;
-    if (this.#remaining === 0) return false;
-    this.#remaining -= 1;
-    if (this.#remaining === 0) this.#queue.restart();
+    if (this.#closedInRow >= this.#closedPerServed) {
+      this.#closedInRow = 0;
+      return false;
+    }
+    this.#closedInRow += 1;
     return true;
   }
+
+  get #closedPerServed(): number {
+    const { standingMs } = this.#queue;
+    if (standingMs < MAX_STANDING_MS) return 0;
+    if (standingMs < LONG_STANDING_MS) return FIRST_CLOSED_PER_SERVED;
+    return MOST_CLOSED_PER_SERVED;
+  }
 }
--- a/src/common/overload_guard.ts
+++ b/src/common/overload_guard.ts
@@ -37,7 +37,7 @@
   ) {
     this.#queue = new AcceptQueue(server, deps);
     this.#limit = new ConcurrencyLimit(deps.clock, deps);
-    this.#shedder = new ConnectionShedder(this.#queue, deps);
+    this.#shedder = new ConnectionShedder(this.#queue);
     this.#shedConnectionsOf(server);
   }
 
@@ -92,7 +92,6 @@
         return;
       }
       this.#shedConnections += 1;
-      this.#limit.noteShed();
       socket.destroy();
     });
   }
