--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -12,6 +12,7 @@
 import type { EngineAdmission, Permit } from "./engine_admission.ts";
 import { FairQueue } from "./fair_queue.ts";
 import { limitDelayMs } from "./limit_delay.ts";
+import { OpenServers } from "./open_servers.ts";
 import type { Outcome } from "./outcome.ts";
 import { PendingRequest } from "./pending_request.ts";
 import {
@@ -108,6 +109,7 @@
 export class Scheduler {
   readonly #options: SchedulerOptions;
   readonly #loads = new Map<string, ServerLoad>();
+  readonly #openServers: OpenServers;
   readonly #queues = new Map<string, FairQueue<Request>>();
   readonly #prefillRates = new Map<string, PrefillRate>();
   readonly #pending = new Set<Request>();
@@ -119,6 +121,7 @@
 
   constructor(options: SchedulerOptions) {
     this.#options = options;
+    this.#openServers = new OpenServers(this.#loads, options.notices);
   }
 
   /** Applies a new configuration. */
@@ -251,7 +254,7 @@
    */
   pauseDelayMs(service: string): number {
     const loads = this.#loadsOf(service).filter(isReady);
-    return refusal.pauseDelayMs(this.#shortestPauseMs(loads));
+    return refusal.pauseDelayMs(this.#openServers.shortestPauseMs(loads));
   }
 
   /** Refuses requests that wait once they can't be served by `closeAtMs`. */
@@ -349,7 +352,7 @@
     let ended = false;
     this.#settle(pending, {
       ...{ type: "placed", server: load.server, uncachedTokens, source },
-      isOpen: () => this.#isOpen(load.server),
+      isOpen: () => this.#openServers.has(load.server),
       noteFirstToken: () => {
         permit?.begun();
         this.#noteFirstToken(load, run);
@@ -392,43 +395,26 @@
       if (demand.service !== service) continue;
       const pauseMs = this.#pauseMs(demand);
       if (pauseMs > 0) this.#refuseAsPaused(pending, pauseMs);
-      else if (state.type === "awaiting-permit") {
-        const server = this.#loads.get(state.server)?.server;
-        if (server === undefined || !this.#isOpen(server))
-          this.#requeue(pending);
-      }
+      else if (
+        state.type === "awaiting-permit" &&
+        !this.#openServers.hasId(state.server)
+      )
+        this.#requeue(pending);
     }
     this.#dispatch(service);
   }
 
-  /** Whether the server, as it has started, takes requests. */
-  #isOpen({ id, startedAtMs }: BackendServer): boolean {
-    const server = this.#loads.get(id)?.server;
-    return (
-      server?.startedAtMs === startedAtMs &&
-      server.state === "ready" &&
-      this.#options.notices.pauseLeftMs(server) === 0
-    );
-  }
-
   /** Time until a server takes the request; 0 if one does now, or none ever. */
   #pauseMs(demand: Demand): number {
-    if (this.#options.notices.isEmpty) return 0;
     const eligible = this.#eligibleLoads(demand);
     // One that was sent to every server may be sent to them as a new request.
-    return this.#shortestPauseMs(
+    return this.#openServers.shortestPauseMs(
       eligible.length > 0
         ? eligible
         : this.#loadsOf(demand.service).filter(isReady),
     );
   }
 
-  #shortestPauseMs(loads: readonly ServerLoad[]): number {
-    if (loads.length === 0) return 0;
-    const { notices } = this.#options;
-    return Math.min(...loads.map(({ server }) => notices.pauseLeftMs(server)));
-  }
-
   /** Recent usage by a request's team at all engines but one. */
   #usageElsewhere({ team, service }: Demand, { id }: ServerLoad): number {
     let usage = 0;
@@ -571,13 +557,7 @@
   }
 
   #openLoadsOf(service: string): readonly ServerLoad[] {
-    return this.#withoutPaused(this.#loadsOf(service));
-  }
-
-  #withoutPaused(loads: readonly ServerLoad[]): readonly ServerLoad[] {
-    const { notices } = this.#options;
-    if (notices.isEmpty) return loads;
-    return loads.filter(({ server }) => notices.pauseLeftMs(server) === 0);
+    return this.#openServers.withoutPaused(this.#loadsOf(service));
   }
 
   /** Servers that the request may be sent to. */
@@ -590,7 +570,7 @@
   /** Expected wait for limits, if all servers for the request name one. */
   #limitDelayMs(demand: Demand): number {
     const { service } = demand;
-    const loads = this.#withoutPaused(this.#eligibleLoads(demand));
+    const loads = this.#openServers.withoutPaused(this.#eligibleLoads(demand));
     const queue = this.#queueOf(service);
     return limitDelayMs(demand, {
       ...{ loads, share: this.#routerShare, queued: queue.size },
--- a/tests/on_platform/server_notices_test.ts
+++ b/tests/on_platform/server_notices_test.ts
@@ -209,7 +209,7 @@
     assert.equal(said.arrivedAtMs.length, 1);
   });
 
-  test(`a ${name} that restarts under its id is used at once`, async () => {
+  test(`${name === "engine" ? "an" : "a"} ${name} that restarts under its id is used at once`, async () => {
     await startFleet(service);
     if (service === "n") await addServer(respondWith(), engineEntry);
     const said = await addServer(respondWith([LEAVING, PAUSE]), entry);
