--- a/src/scheduling/open_servers.ts
+++ b/src/scheduling/open_servers.ts
@@ -14,6 +14,11 @@
     this.#notices = notices;
   }
 
+  /** Whether no server has said anything that might keep requests from it. */
+  get isUnrestricted(): boolean {
+    return this.#notices.isEmpty;
+  }
+
   /** Whether a server, as it has started, takes requests. */
   has({ id, startedAtMs }: BackendServer): boolean {
     const server = this.#loads.get(id)?.server;
@@ -32,7 +37,7 @@
 
   /** Leaves out servers that are paused. */
   withoutPaused(loads: readonly ServerLoad[]): readonly ServerLoad[] {
-    if (this.#notices.isEmpty) return loads;
+    if (this.isUnrestricted) return loads;
     return loads.filter(
       ({ server }) => this.#notices.pauseLeftMs(server) === 0,
     );
@@ -40,7 +45,7 @@
 
   /** Time in ms until one of the servers isn't paused; 0 if there are none. */
   shortestPauseMs(loads: readonly ServerLoad[]): number {
-    if (loads.length === 0 || this.#notices.isEmpty) return 0;
+    if (loads.length === 0 || this.isUnrestricted) return 0;
     return Math.min(
       ...loads.map(({ server }) => this.#notices.pauseLeftMs(server)),
     );
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -406,6 +406,7 @@
 
   /** Time until a server takes the request; 0 if one does now, or none ever. */
   #pauseMs(demand: Demand): number {
+    if (this.#openServers.isUnrestricted) return 0;
     const eligible = this.#eligibleLoads(demand);
     // One that was sent to every server may be sent to them as a new request.
     return this.#openServers.shortestPauseMs(
