--- a/src/direct/exchange.ts
+++ b/src/direct/exchange.ts
@@ -44,7 +44,10 @@
 const LASTING_REFUSALS = new Set([
   ...["no-configuration", "keys-too-old", "overloaded"],
 ]);
-/** Callers state what is left of their timeout in whole milliseconds. */
+/**
+ * A caller that states less than the longest timeout of its route, by more than
+ * this, has spent the difference on an earlier try.
+ */
 const COME_BACK_MS = 20;
 
 /** Dependencies of an exchange. */
