Use one jitter for refusals, and read a refused request's headers once

What an overloaded router does for each refusal read the headers twice, once for the team and once for what is left of the caller's time, and callers were spread by a copy of refusal.withJitter. No behaviour changes.

--- a/src/direct/caller_server.ts
+++ b/src/direct/caller_server.ts
@@ -12,7 +12,7 @@
 import { OverloadGuard } from "../common/overload_guard.ts";
 import { ProcessorShare } from "../common/processor_share.ts";
 import type { CallerLimits } from "../routing/mod.ts";
-import { SHORT_RETRY_AFTER_MS } from "../scheduling/mod.ts";
+import { SHORT_RETRY_AFTER_MS, withJitter } from "../scheduling/mod.ts";
 import type { ListenAddress } from "../transport/mod.ts";
 import { Exchange, type ExchangeDependencies } from "./exchange.ts";
 
@@ -230,8 +230,3 @@
     if (this.#stage === "closed") socket.end();
   }
 }
-
-/** Spreads callers that were refused together over half as long again. */
-function withJitter(retryAfterMs: number): number {
-  return retryAfterMs * (1 + Math.random() / 2);
-}
--- a/src/direct/exchange.ts
+++ b/src/direct/exchange.ts
@@ -80,6 +80,8 @@
   readonly #record: RequestRecord;
   #deadlineTimer: NodeJS.Timeout | null = null;
   #hasReadTerms = false;
+  /** Time that the caller states, once `#readTerms` has read it. */
+  #unadmittedWaitMs: number | null = null;
 
   constructor(
     deps: ExchangeDependencies,
@@ -109,13 +111,12 @@
 
   /** Whether its caller seems to have tried before, by what is left of its time. */
   get hasComeBack(): boolean {
-    const { dialect, configuration, callerWaits } = this.#deps;
+    const { configuration, callerWaits } = this.#deps;
     const { table } = configuration;
-    const terms = dialect.readRequest(this.#request.headers);
+    this.#readTerms();
+    const waitMs = this.#unadmittedWaitMs;
     const route = table === null ? null : findRoute(table, this.#request);
-    if (route === null || terms.isErr()) return false;
-    const { waitMs } = terms.value;
-    if (waitMs === null) return false;
+    if (route === null || waitMs === null) return false;
     return callerWaits.elapsedMs(route.name, waitMs) > COME_BACK_MS;
   }
 
@@ -152,7 +153,8 @@
     const { logFields } = this.#record;
     const terms = dialect.readRequest(this.#request.headers);
     if (terms.isErr()) return;
-    const { id, apiKey } = terms.value;
+    const { id, apiKey, waitMs } = terms.value;
+    this.#unadmittedWaitMs = waitMs;
     logFields.id = id ?? "";
     logFields.tokens = costOf(terms.value);
     if (apiKey !== null)
--- a/src/scheduling/mod.ts
+++ b/src/scheduling/mod.ts
@@ -11,7 +11,7 @@
 export { PredictedCache } from "./predicted_cache.ts";
 export { PrefillRate, SMALLEST_SAMPLE_TOKENS } from "./prefill_rate.ts";
 export { ownersOf } from "./prefix_owners.ts";
-export { SHORT_RETRY_AFTER_MS } from "./refusal.ts";
+export { SHORT_RETRY_AFTER_MS, withJitter } from "./refusal.ts";
 export { topRanked } from "./rendezvous.ts";
 export { type LimitObservation, RequestLimit } from "./request_limit.ts";
 export {
--- a/src/scheduling/refusal.ts
+++ b/src/scheduling/refusal.ts
@@ -116,7 +116,10 @@
   return withJitter(Math.min(delayMs, MAX_RETRY_AFTER_MS));
 }
 
-/** Keeps callers that were refused together from retrying together. */
-function withJitter(ms: number): number {
+/**
+ * Adds up to half to a delay in milliseconds, so that callers that were refused
+ * together don't retry together.
+ */
+export function withJitter(ms: number): number {
   return ms * (1 + RETRY_JITTER_SHARE * Math.random());
 }
