--- a/stand_ins/store/store.ts
+++ b/stand_ins/store/store.ts
@@ -29,6 +29,8 @@
   responseMode: ResponseMode = "serving";
   /** Most objects in one page of a list. */
   pageSize = 500;
+  /** Whether watches are told of the changes that are made now. */
+  isReportingChanges = true;
   /** Writes a response's body. */
   encode: (value: unknown) => string = JSON.stringify;
   /** Calls that were received, answered or not. */
@@ -161,6 +163,7 @@
   }
 
   #append(event: ChangeEvent): void {
+    if (!this.isReportingChanges) return;
     this.#history.push(event);
     this.#wakeWatchers();
   }
--- a/tests/on_platform/end_to_end_test.ts
+++ b/tests/on_platform/end_to_end_test.ts
@@ -65,6 +65,7 @@
     bounds: {
       ...{ graceS: 4, revokeMs: 5_000, stableWindowMs: 3_000, drainMs: 2_000 },
       ...{ budgetRatio: 0.2, budgetWindowS: 10, retrySlack: 50 },
+      configMs: 2_000,
     },
   };
 }
--- a/tests/on_platform/kind_watcher_test.ts
+++ b/tests/on_platform/kind_watcher_test.ts
@@ -118,6 +118,14 @@
   assert.deepEqual(calls, ["listed", "lost", "regained"]);
 });
 
+test("objects whose events can't be read are listed", async () => {
+  startWatcher();
+  await waitForCall("listed");
+  store.encode = (value) => JSON.stringify(value).replaceAll('"object"', '"o"');
+  store.put("servers", "a", {});
+  await waitForObjects("a");
+});
+
 test("a store that comes back from a copy is listed anew", async () => {
   store.put("servers", "a", {});
   const copy = store.copy();
--- a/tests/on_platform/program_fixture.ts
+++ b/tests/on_platform/program_fixture.ts
@@ -13,6 +13,7 @@
   ScriptedServer,
 } from "../../stand_ins/scripted_server.ts";
 import { Store } from "../../stand_ins/store/store.ts";
+import { FaultProxy } from "../../tools/fleet/fault_proxy.ts";
 import { freePorts } from "../../tools/fleet/ports.ts";
 import { until } from "../../tools/fleet/until.ts";
 import { serverHeaders } from "../direct/fixture.ts";
@@ -22,7 +23,7 @@
 const ROOT = new URL("../../../", import.meta.url).pathname;
 const DEFAULT_BOUNDS = {
   ...{ graceS: 4, revokeMs: 5_000, stableWindowMs: 3_000, drainMs: 2_000 },
-  ...{ budgetRatio: 0.2, budgetWindowS: 10, retrySlack: 50 },
+  ...{ budgetRatio: 0.2, budgetWindowS: 10, retrySlack: 50, configMs: 2_000 },
 };
 
 /** A role that has a settings template and a program of its name. */
@@ -32,6 +33,8 @@
 export interface Program {
   readonly process: ChildProcess;
   readonly events: Record<string, unknown>[];
+  /** Path of its settings file. */
+  readonly settingsPath: string;
 }
 
 /** A router that callers can reach. */
@@ -45,6 +48,8 @@
 export interface CallOptions {
   readonly id?: string;
   readonly deadlineMs?: number;
+  /** Path of the request; `/a/x` by default. */
+  readonly path?: string;
   readonly headers?: Record<string, string>;
 }
 
@@ -72,12 +77,19 @@
   readonly #bounds: object;
   readonly #folder: string;
   readonly #storeServer: Server;
+  #storeProxy: FaultProxy;
   readonly #admissionPort: number;
 
   private constructor(
     options: ProgramFleetOptions,
-    deps: { folder: string; storeServer: Server; admissionPort: number },
+    deps: {
+      readonly folder: string;
+      readonly storeServer: Server;
+      readonly storeProxy: FaultProxy;
+      readonly admissionPort: number;
+    },
   ) {
+    this.#storeProxy = deps.storeProxy;
     this.#bounds = { ...DEFAULT_BOUNDS, ...options.bounds };
     this.#folder = deps.folder;
     this.#storeServer = deps.storeServer;
@@ -93,12 +105,33 @@
       (...args) => fleet?.store.handle(...args),
       0,
     );
-    fleet = new ProgramFleet(options, { folder, storeServer, admissionPort });
+    const storeProxy = await FaultProxy.start(portOf(storeServer));
+    const deps = { folder, storeServer, storeProxy, admissionPort };
+    fleet = new ProgramFleet(options, deps);
     const configuration = options.configuration ?? createWireConfiguration();
     fleet.store.put("config", "main", configuration);
     return fleet;
   }
 
+  /** The programs' way to the store. */
+  get storeProxy(): FaultProxy {
+    return this.#storeProxy;
+  }
+
+  /** Gives the store another address and writes it into all settings files. */
+  async moveStore(): Promise<void> {
+    const before = `127.0.0.1:${this.#storeProxy.port}`;
+    this.#storeProxy.close();
+    this.#storeProxy = await FaultProxy.start(portOf(this.#storeServer));
+    const after = `127.0.0.1:${this.#storeProxy.port}`;
+    for (const { settingsPath } of this.#programs) {
+      const settings = JSON.parse(await readFile(settingsPath, "utf8"));
+      const isMoved = settings.registry === before;
+      const registry = isMoved ? after : settings.registry;
+      await writeFile(settingsPath, JSON.stringify({ ...settings, registry }));
+    }
+  }
+
   /** Starts a scripted server and writes its entry, `i-1` for the first. */
   async addServer(script: Script, entry: object = {}): Promise<ScriptedServer> {
     const server = new ScriptedServer(script);
@@ -155,6 +188,7 @@
   async close(): Promise<void> {
     for (const { process: child } of this.#programs) child.kill("SIGKILL");
     for (const server of this.servers) if (server.isListening) server.crash();
+    this.#storeProxy.close();
     this.#storeServer.close();
     this.#storeServer.closeAllConnections();
     await rm(this.#folder, { recursive: true });
@@ -164,7 +198,7 @@
     const settings = await render(role, {
       ...{ zone: "a", bounds: this.#bounds },
       internalPorts: [this.#admissionPort, this.#admissionPort + 1],
-      platform: { address: `127.0.0.1:${portOf(this.#storeServer)}` },
+      platform: { address: `127.0.0.1:${this.#storeProxy.port}` },
       ...fields,
     });
     const path = join(this.#folder, `${role}-${this.#programs.length}.json`);
@@ -189,7 +223,7 @@
     rest = lines.pop() ?? "";
     for (const line of lines) events.push(JSON.parse(line));
   });
-  return { process: child, events };
+  return { process: child, events, settingsPath };
 }
 
 /** Renders a settings template; supports only the syntax that ours use. */
@@ -267,11 +301,11 @@
 
 async function callOnce(
   { port }: Pick<RunningRouter, "port">,
-  { id, deadlineMs = 4_000, headers = {} }: CallOptions,
+  { id, deadlineMs = 4_000, path = "/a/x", headers = {} }: CallOptions,
 ): Promise<CallResult> {
   lastCall += 1;
   const sentAtMs = performance.now();
-  const response = await request(`http://127.0.0.1:${port}/a/x`, {
+  const response = await request(`http://127.0.0.1:${port}${path}`, {
     headers: {
       ...{ host: "desk.example", authorization: "Token k" },
       "x-attempt-id": id ?? `id-${lastCall}`,
--- a/tests/on_platform/restored_store_test.ts
+++ b/tests/on_platform/restored_store_test.ts
@@ -1,7 +1,8 @@
-/** Configuration in force while the store has an older copy of it. */
+/** Configuration in force while the store has an older copy of it, or none. */
 
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import type { StoredObject } from "../../platform/stored_object.ts";
 import {
   CONFIGURATION_KIND,
   configurationListener,
@@ -18,8 +19,39 @@
   return { name: "main", revision: version, spec, kind: CONFIGURATION_KIND };
 }
 
-test("a store with an older configuration confirms no keys", async () => {
+test("a configuration that can't be decoded confirms no older one", async (t) => {
   const fixture = await createRouterFixture({ configuration: null });
+  t.after(() => fixture.close());
+  const { configuration } = fixture.router;
+  const confirmed: number[] = [];
+  configuration.confirm = ({ monotonicMs }) => confirmed.push(monotonicMs);
+  const listener = configurationListener(fixture.router, events);
+  const confirmAt = (monotonicMs: number) =>
+    listener.onConfirmed({ monotonicMs, wallMs: monotonicMs });
+  const change = (object: StoredObject, removed = false) =>
+    listener.onChanged([{ object, removed }]);
+  listener.onListed([createObject(7)]);
+  confirmAt(1);
+  change({ ...createObject(8), spec: { version: 8 } });
+  confirmAt(2);
+  change(createObject(9));
+  confirmAt(3);
+  change(createObject(9), true);
+  confirmAt(4);
+  listener.onListed([{ ...createObject(10), spec: null }]);
+  confirmAt(5);
+  listener.onListed([createObject(10)]);
+  confirmAt(6);
+  assert.deepEqual(
+    confirmed.filter((atMs) => atMs <= 6),
+    [1, 3, 6],
+  );
+  assert.equal(configuration.table?.version, 10);
+});
+
+test("a store with an older configuration confirms no keys", async (t) => {
+  const fixture = await createRouterFixture({ configuration: null });
+  t.after(() => fixture.close());
   const { configuration } = fixture.router;
   const confirmed: number[] = [];
   configuration.confirm = ({ monotonicMs }) => confirmed.push(monotonicMs);
@@ -38,5 +70,4 @@
     confirmed.filter((atMs) => atMs <= 4),
     [1, 4],
   );
-  await fixture.close();
 });
