Give each watcher of the store one connection of its own

What callers saw: 401 and 404 for a key or route that had been added, until 4.0 to 5.1 s after the router's open connections to the store had fallen silent, although the router counts as in touch with the store 3 s after that.

Cause: both watchers took connections from one pool. The call after a timeout got another connection of the pool, which had fallen silent at the same time, and waited for the whole limit again. The logs show two timeouts of 2,500 ms in a row for one kind, while a new connection already works for the other.

--- a/tests/on_platform/kind_watcher_test.ts
+++ b/tests/on_platform/kind_watcher_test.ts
@@ -6,7 +6,6 @@
 import assert from "node:assert/strict";
 import type { Server } from "node:http";
 import { afterEach, beforeEach, test } from "node:test";
-import { Agent } from "undici";
 import { KindWatcher } from "../../platform/kind_watcher.ts";
 import { StoreClient } from "../../platform/store_client.ts";
 import { systemClock } from "../../src/common/clock.ts";
@@ -21,7 +20,7 @@
 
 let store: Store;
 let server: Server;
-let agent: Agent;
+let client: StoreClient;
 let watcher: KindWatcher;
 let knownObjects: Map<string, unknown>;
 let calls: string[];
@@ -30,8 +29,7 @@
 beforeEach(async () => {
   store = new Store();
   server = await serve((...args) => store.handle(...args), 0);
-  agent = new Agent();
-  const client = new StoreClient(`127.0.0.1:${portOf(server)}`, agent);
+  client = new StoreClient(`127.0.0.1:${portOf(server)}`);
   const options = { clock: systemClock, events, noticeMs: 3_000 };
   watcher = new KindWatcher(client, "servers", options);
   knownObjects = new Map();
@@ -41,7 +39,7 @@
 
 afterEach(async () => {
   watcher.close();
-  await agent.destroy();
+  await client.close();
   server.close();
   server.closeAllConnections();
 });
