Refuse requests for good only by a configuration that was confirmed in time

What callers saw: 401 and 404 for keys and routes that had been in force elsewhere for seconds, from a router that the store turned away (silence, 503, reset) or that had been stopped. No request is repeated after these.

Cause: only requests with a known key depended on the age of the last confirmation. A refusal followed from the newest version that the router knew, of whatever age.

Fix: 401, 404, 413 and 431 need a confirmation within 0.95 of the bound for changes (new setting configurationMs, from configMs). Older than that, the request gets a 503 with Connection: close, which takes its caller to another router. If a version was acknowledged more than the bound before a request, a router that doesn't know it was confirmed longer ago than that, so the refusal can't be wrong.

--- a/src/direct/admit.ts
+++ b/src/direct/admit.ts
@@ -75,14 +75,19 @@
   const { headerBytes: limitBytes, bodyBytes } = table.limits;
   if (headerBytesOf(request.rawHeaders) > limitBytes) {
     const sentence = `Request headers exceed the limit of ${limitBytes} bytes`;
-    return err(badRequest(431, "headers-too-long", { sentence }));
+    const failure = badRequest(431, "headers-too-long", { sentence });
+    return err(refusalOf(configuration, failure));
   }
   const body = await readBody(request, bodyBytes);
-  if (body.isErr()) return err(body.error);
+  if (body.isErr()) {
+    const { error } = body;
+    const isCutOff = error.code === "body-cut-off";
+    return err(isCutOff ? error : refusalOf(configuration, error));
+  }
   // Reading the body may take long: use the configuration in force now.
   const read = { terms: terms.value, body: body.value };
   const route = routeOf(configuration.table ?? table, request);
-  if (route.isErr()) return err(route.error);
+  if (route.isErr()) return err(refusalOf(configuration, route.error));
   options.logFields.route = route.value.name;
   return authorize(deps, route.value, { ...read, ...options });
 }
@@ -110,6 +115,17 @@
   return notRun(503, code, { sentence, retryAfterMs: SHORT_RETRY_AFTER_MS });
 }
 
+/**
+ * Returns how to reject a request that the configuration doesn't allow: for good,
+ * or to another router if a newer version that allows it may be in force.
+ */
+function refusalOf(
+  { permitsRefusal }: ConfigurationState,
+  failure: Failure,
+): Failure {
+  return permitsRefusal ? failure : unavailableHere("configuration-too-old");
+}
+
 /** Returns the route that a request's host and path select; null for none. */
 export function findRoute(
   table: RouteTable,
@@ -142,7 +158,7 @@
 ): Result<AdmittedRequest, Failure> {
   const { terms, body, arrivedMs, logFields } = read;
   const team = teamOf(configuration.table, route, terms);
-  if (team.isErr()) return err(team.error);
+  if (team.isErr()) return err(refusalOf(configuration, team.error));
   if (route.requiresKey && !configuration.keysAreFresh) {
     return err(unavailableHere("keys-too-old"));
   }
--- a/src/direct/configuration_state.ts
+++ b/src/direct/configuration_state.ts
@@ -11,26 +11,29 @@
  */
 const EXPIRING_KEYS_SHARE = 0.8;
 
+/** How long a configuration is relied on after it was confirmed as current. */
+export interface ConfigurationLimits {
+  /** Time in ms for which API keys are trusted. */
+  readonly keysMaxAgeMs: number;
+  /**
+   * Time in ms for which a request is refused for good, as a key or a route that
+   * was added later is in force by then.
+   */
+  readonly refusalMaxAgeMs: number;
+}
+
 /** The newest known configuration, and when it was last confirmed current. */
 export class ConfigurationState {
   readonly #clock: Clock;
   readonly #events: EventLog;
-  #keysMaxAgeMs: number;
+  #limits: ConfigurationLimits;
   #table: RouteTable | null = null;
   #confirmedAt: Moment | null = null;
 
-  /**
-   * @param options.keysMaxAgeMs how long API keys are trusted after the store
-   *   last confirmed that they are current
-   */
-  constructor(
-    clock: Clock,
-    events: EventLog,
-    { keysMaxAgeMs }: { readonly keysMaxAgeMs: number },
-  ) {
+  constructor(clock: Clock, events: EventLog, limits: ConfigurationLimits) {
     this.#clock = clock;
     this.#events = events;
-    this.#keysMaxAgeMs = keysMaxAgeMs;
+    this.#limits = limits;
   }
 
   /** The configuration in force; null before the first one. */
@@ -46,7 +49,12 @@
 
   /** Whether API keys are recent enough to be trusted. */
   get keysAreFresh(): boolean {
-    return this.ageMs <= this.#keysMaxAgeMs;
+    return this.ageMs <= this.#limits.keysMaxAgeMs;
+  }
+
+  /** Whether it is recent enough to refuse a request for good. */
+  get permitsRefusal(): boolean {
+    return this.ageMs <= this.#limits.refusalMaxAgeMs;
   }
 
   /**
@@ -55,14 +63,13 @@
    */
   get keysAreExpiring(): boolean {
     const requiresKeys = this.#table?.requiresKeys ?? false;
-    return (
-      requiresKeys && this.ageMs > this.#keysMaxAgeMs * EXPIRING_KEYS_SHARE
-    );
+    const expiringMs = this.#limits.keysMaxAgeMs * EXPIRING_KEYS_SHARE;
+    return requiresKeys && this.ageMs > expiringMs;
   }
 
-  /** Sets how long API keys are trusted after a confirmation. */
-  setKeysMaxAge(keysMaxAgeMs: number): void {
-    this.#keysMaxAgeMs = keysMaxAgeMs;
+  /** Sets how long it is relied on after a confirmation. */
+  setLimits(limits: ConfigurationLimits): void {
+    this.#limits = limits;
   }
 
   /** Applies a configuration; returns null if it is not a newer one. */
--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -20,7 +20,10 @@
 import { AdmissionClients } from "./admission_clients.ts";
 import { CallerServer } from "./caller_server.ts";
 import { CallerWaitEstimator } from "./caller_wait_estimator.ts";
-import { ConfigurationState } from "./configuration_state.ts";
+import {
+  type ConfigurationLimits,
+  ConfigurationState,
+} from "./configuration_state.ts";
 import { ConnectionPool } from "./connection_pool.ts";
 import { CrashGuard } from "./crash_guard.ts";
 import type { Dialect } from "./dialect.ts";
@@ -35,6 +38,11 @@
  * bound permits a request that was sent before its end to run after it.
  */
 const KEYS_MAX_AGE_SHARE = 0.95;
+/**
+ * Share of the bound for changes of the configuration for which requests are
+ * refused for good. The rest allows for clock drift.
+ */
+const REFUSAL_MAX_AGE_SHARE = 0.95;
 /**
  * Time after the shutdown signal for which new connections are accepted. The
  * load balancer probes once a second and drops a router after two failures.
@@ -84,14 +92,12 @@
     deps: { readonly events: EventLog; readonly dialect: Dialect },
   ) {
     const { events, dialect } = deps;
-    const { revocationMs, retries, availabilityZone } = settings;
+    const { retries, availabilityZone } = settings;
     const clock = this.#clock;
     this.#settings = settings;
     this.#events = events;
-    const keysMaxAgeMs = revocationMs * KEYS_MAX_AGE_SHARE;
-    this.configuration = new ConfigurationState(clock, events, {
-      keysMaxAgeMs,
-    });
+    const limits = configurationLimitsOf(settings);
+    this.configuration = new ConfigurationState(clock, events, limits);
     this.directory = new ServerDirectory(clock);
     this.#versions = new VersionHistory(clock);
     const identity = createIdentity(settings);
@@ -196,9 +202,9 @@
   }
 
   /** Applies the settings that can change at run time. */
-  reload({ retries, revocationMs }: DirectRouterSettings): void {
-    this.#retryBudget.setLimits(retryLimitsOf(retries));
-    this.configuration.setKeysMaxAge(revocationMs * KEYS_MAX_AGE_SHARE);
+  reload(settings: DirectRouterSettings): void {
+    this.#retryBudget.setLimits(retryLimitsOf(settings.retries));
+    this.configuration.setLimits(configurationLimitsOf(settings));
     this.#events.info("reload", { instance: this.#settings.instance });
   }
 
@@ -338,6 +344,16 @@
   }
 }
 
+function configurationLimitsOf({
+  revocationMs,
+  configurationMs,
+}: DirectRouterSettings): ConfigurationLimits {
+  return {
+    keysMaxAgeMs: revocationMs * KEYS_MAX_AGE_SHARE,
+    refusalMaxAgeMs: configurationMs * REFUSAL_MAX_AGE_SHARE,
+  };
+}
+
 function retryLimitsOf({
   ratio,
   windowSeconds,
--- a/src/direct/exchange.ts
+++ b/src/direct/exchange.ts
@@ -42,7 +42,8 @@
  * do; on a new connection, the caller gets another router.
  */
 const LASTING_REFUSALS = new Set([
-  ...["no-configuration", "keys-too-old", "overloaded"],
+  ...["no-configuration", "configuration-too-old", "keys-too-old"],
+  "overloaded",
 ]);
 /**
  * A caller that states less than the longest timeout of its route, by more than
--- a/src/direct/settings.ts
+++ b/src/direct/settings.ts
@@ -22,6 +22,8 @@
   readonly graceSeconds: number;
   /** Milliseconds within which a revoked API key must be refused. */
   readonly revocationMs: number;
+  /** Milliseconds within which a change of the configuration is in force. */
+  readonly configurationMs: number;
   /** Milliseconds within which a lost response of the store is noticed. */
   readonly noticeMs: number;
   readonly retries: {
@@ -45,7 +47,7 @@
   required: [
     ...["instance", "availabilityZone", "entry", "ready", "registry"],
     ...["gatePort", "fleetKey", "graceSeconds", "revocationMs", "noticeMs"],
-    "retries",
+    ...["configurationMs", "retries"],
   ],
   properties: {
     instance: text,
@@ -58,6 +60,7 @@
     fleetKey: { type: "string", minLength: 16 },
     graceSeconds: amount,
     revocationMs: amount,
+    configurationMs: amount,
     noticeMs: amount,
     retries: {
       type: "object",
--- a/tests/direct/caller_connection_test.ts
+++ b/tests/direct/caller_connection_test.ts
@@ -174,7 +174,7 @@
     ...{ instance: "router-1", availabilityZone: "a", entry: "127.0.0.1:1" },
     ...{ ready: "127.0.0.1:1", registry: "127.0.0.1:1", gatePort: 1 },
     ...{ fleetKey: "key of the test fleet", graceSeconds: 1 },
-    ...{ revocationMs: 5_000, noticeMs: 3_000 },
+    ...{ revocationMs: 5_000, configurationMs: 2_000, noticeMs: 3_000 },
     retries: { ratio: 0.2, windowSeconds: 10, slack: 52 },
   };
   const caller = await connectCaller();
--- a/tests/direct/fixture.ts
+++ b/tests/direct/fixture.ts
@@ -48,6 +48,8 @@
   readonly gatePort?: number;
   /** Time after which API keys need a new confirmation; 5 s by default. */
   readonly revocationMs?: number;
+  /** Time within which a change must be in force; 2 s by default. */
+  readonly configurationMs?: number;
   /** How often the configuration is confirmed, in ms; 100 by default. */
   readonly confirmIntervalMs?: number;
   /** Software version of each server; `v1` by default. */
@@ -83,6 +85,7 @@
     gatePort = 1,
     versions = [],
     revocationMs = 5_000,
+    configurationMs = 2_000,
     confirmIntervalMs = 100,
     retries = { ratio: 1, windowSeconds: 10, slack: 100 },
   }: Omit<RouterFixtureOptions, "scripts">,
@@ -99,7 +102,7 @@
       fleetKey: FLEET_KEY,
       graceSeconds,
       revocationMs,
-      noticeMs: 3_000,
+      ...{ configurationMs, noticeMs: 3_000 },
       retries,
     },
     { events, dialect: headerDialect },
--- a/tests/direct/parts_test.ts
+++ b/tests/direct/parts_test.ts
@@ -59,7 +59,7 @@
 
 function createState() {
   const clock = createManualClock();
-  const options = { keysMaxAgeMs: 4_000 };
+  const options = { keysMaxAgeMs: 4_000, refusalMaxAgeMs: 2_000 };
   return {
     clock,
     configuration: new ConfigurationState(clock, DISCARDING_LOG, options),
