--- a/tests/on_platform/kind_watcher_test.ts
+++ b/tests/on_platform/kind_watcher_test.ts
@@ -31,7 +31,7 @@
   server = await serve((...args) => store.handle(...args), 0);
   client = new StoreClient(`127.0.0.1:${portOf(server)}`);
   const times = { noticeMs: 3_000, confirmationMs: null };
-  const options = { clock: systemClock, events, ...times };
+  const options = { clock: systemClock, events, times };
   watcher = new KindWatcher(client, "servers", options);
   knownObjects = new Map();
   calls = [];
