Open new connections to the platform after a call has timed out

Fix: a timeout replaces the pool for further calls; calls in progress, such as renewals of leases, go on in the old one until they end.

--- a/src/platform/object_store.ts
+++ b/src/platform/object_store.ts
@@ -33,7 +33,9 @@
 /** Reads, writes and watches objects; every call has a timeout. */
 export class ObjectStore {
   readonly #url: string;
-  readonly #agent = new Agent({ connections: 8, pipelining: 1 });
+  #agent = createAgent();
+  /** Replaced agents whose calls in progress go on. */
+  readonly #replaced = new Set<Agent>();
   #calls = 0;
 
   constructor(url: string) {
@@ -101,7 +103,8 @@
 
   /** Closes all connections; calls in flight fail. */
   async close(): Promise<void> {
-    await this.#agent.destroy();
+    const agents = [this.#agent, ...this.#replaced];
+    await Promise.all(agents.map((agent) => agent.destroy()));
   }
 
   async #write(
@@ -120,18 +123,21 @@
   ): Promise<Result<VersionedObject, StoreError>> {
     this.#calls += 1;
     const url = `${this.#url}/v1/objects/${kind}/${encodeURIComponent(name)}`;
+    const agent = this.#agent;
+    const timeout = AbortSignal.timeout(timeoutMs);
     try {
       const response = await request(url, {
         method,
         query,
         headers: { "content-type": "application/json", ...headers },
         body: body ?? null,
-        dispatcher: this.#agent,
-        signal: AbortSignal.timeout(timeoutMs),
+        dispatcher: agent,
+        signal: timeout,
       });
       const text = await response.body.text();
       return interpret(response.statusCode, response.headers, text);
     } catch (error) {
+      if (timeout.aborted) this.#replace(agent);
       const message = messageOf(error);
       if (method === "GET") {
         return err(unavailable(message, DEFAULT_RETRY_MS));
@@ -139,6 +145,21 @@
       return err({ type: "response-lost", message });
     }
   }
+
+  /**
+   * Opens new connections for further calls: those of the agent may have fallen
+   * silent together. Its calls in progress go on.
+   */
+  #replace(agent: Agent): void {
+    if (agent !== this.#agent) return;
+    this.#agent = createAgent();
+    this.#replaced.add(agent);
+    void agent.close().finally(() => this.#replaced.delete(agent));
+  }
+}
+
+function createAgent(): Agent {
+  return new Agent({ connections: 8, pipelining: 1 });
 }
 
 function unavailable(message: string, retryAfterMs: number): StoreError {
