--- a/tests/on_platform/kind_watcher_test.ts
+++ b/tests/on_platform/kind_watcher_test.ts
@@ -8,7 +8,7 @@
 import { afterEach, beforeEach, test } from "node:test";
 import { KindWatcher } from "../../platform/kind_watcher.ts";
 import { StoreClient } from "../../platform/store_client.ts";
-import { systemClock } from "../../src/common/clock.ts";
+import { type Clock, systemClock } from "../../src/common/clock.ts";
 import { EventLog } from "../../src/common/event_log.ts";
 import { sleep } from "../../src/common/promises.ts";
 import { portOf, serve } from "../../stand_ins/http.ts";
@@ -25,14 +25,20 @@
 let knownObjects: Map<string, unknown>;
 let calls: string[];
 let confirmedMs: number[];
+/** By how much the watcher's clock is ahead of the system's. */
+let clockAheadMs: number;
 
 beforeEach(async () => {
   store = new Store();
   server = await serve((...args) => store.handle(...args), 0);
   client = new StoreClient(`127.0.0.1:${portOf(server)}`);
+  clockAheadMs = 0;
+  const clock: Clock = {
+    monotonicMs: () => systemClock.monotonicMs() + clockAheadMs,
+    wallMs: () => systemClock.wallMs() + clockAheadMs,
+  };
   const times = { noticeMs: 3_000, confirmationMs: null };
-  const options = { clock: systemClock, events, times };
-  watcher = new KindWatcher(client, "servers", options);
+  watcher = new KindWatcher(client, "servers", { clock, events, times });
   knownObjects = new Map();
   calls = [];
   confirmedMs = [];
@@ -171,6 +177,28 @@
   assert.ok(watchedMs <= nowMs, "confirmed a moment in the future");
 });
 
+test("a response that is read after a pause confirms the start of its watch", async () => {
+  startWatcher();
+  await waitForCall("listed");
+  await sleep(100);
+  clockAheadMs = 6_000;
+  const holds = () => confirmedMs.length === 2;
+  await until("the first watch is over", TIMEOUT_MS, { holds });
+  const [listedMs = 0, watchedMs = 0] = confirmedMs;
+  assert.ok(watchedMs - listedMs < 1_000, `${watchedMs - listedMs} ms later`);
+});
+
+test("a change is confirmed at once if confirmations are relied on", async () => {
+  watcher.setTimes({ noticeMs: 3_000, confirmationMs: 2_000 });
+  startWatcher();
+  await waitForCall("listed");
+  const changedMs = systemClock.monotonicMs();
+  store.put("servers", "a", {});
+  const holds = () => (confirmedMs.at(-1) ?? 0) >= changedMs;
+  // Well before the end of the next watch, which lasts for 1,500 ms.
+  await until("the change is confirmed", 1_000, { holds });
+});
+
 test("changes at about the same time are fetched in few calls", async () => {
   startWatcher();
   await waitForCall("listed");
