Apply what every run tells of waiting requests, not only runs with a grant

What callers saw: a request waited at a router until the first of the two that ran had ended (8 s in the test), although the side process grants one request ahead.

Cause: a run carries how many requests of its team still wait at the router, and the router doesn't announce again what a run has told. The side process read that count only from runs that name a grant. When callers of a long queue leave and others come within 10 ms, a run without a grant tells of a waiting request, and nothing else does.

Fix: the count is applied after each decision on a run, and grants follow from it.

Evidence: 'grants a slot ahead to a request that only a run without a grant tells of' and 'grants the next slot to a request that only a refused run tells of' failed before and pass now.

Tests that change: 'grants and admits nothing while paused' announced five requests and then sent a run that tells of none; now the run tells of five, and one more check says that it isn't granted anything while paused.

--- a/src/side_process/dispatcher.ts
+++ b/src/side_process/dispatcher.ts
@@ -142,13 +142,19 @@
    * call `release` when an admitted run ends.
    */
   admit(router: GrantReceiver, run: RunRequest): Admission {
+    const admission = this.#decide(router, run);
+    // The router doesn't announce the demand that a run has told of again.
+    this.#updateDemand(router, run.team, run.waiting);
+    this.#issueGrants();
+    return admission;
+  }
+
+  #decide(router: GrantReceiver, run: RunRequest): Admission {
     const grant = this.#grants.get(run.grant);
     if (grant !== undefined) {
       this.#removeGrant(run.grant, grant);
       grant.charge.refine(run);
-      this.#updateDemand(router, run.team, run.waiting);
       this.#running += 1;
-      this.#recordSlotUse();
       return { type: "admitted", charge: grant.charge };
     }
     if (this.#paused || this.#freeWhenNoneWaiting() === 0) {
@@ -159,9 +165,7 @@
     this.#deps.ledger.raiseFloor(run.team);
     const charge = this.#openCharge(run.team);
     charge.refine(run);
-    this.#updateWaiting(run.team);
     this.#running += 1;
-    this.#recordSlotUse();
     return { type: "admitted", charge };
   }
 
--- a/tests/router/entry_test.ts
+++ b/tests/router/entry_test.ts
@@ -186,6 +186,10 @@
     holds: async () =>
       (await fleet.status(fleet.routers[0] as Member))?.open === 0,
   });
+  await until("the engine is idle", TIMEOUT_MS, {
+    holds: async () =>
+      (await executions()).every(({ finishedAt }) => finishedAt !== null),
+  });
   const disconnect = new AbortController();
   const fill = Array.from({ length: 3 }, (_, index) =>
     chat({
--- a/tests/side_process/dispatcher_test.ts
+++ b/tests/side_process/dispatcher_test.ts
@@ -70,6 +70,27 @@
   assert.equal(dispatcher.admit(router, createRun("a", 0)).type, "busy");
 });
 
+test("grants a slot ahead to a request that only a run without a grant tells of", () => {
+  const dispatcher = createDispatcher(2, 1);
+  const router = new FakeRouter();
+  dispatcher.admit(router, createRun("a", 0));
+  dispatcher.admit(router, createRun("a", 0, 1));
+  assert.deepEqual(
+    router.grants.map(({ team }) => team),
+    ["a"],
+  );
+});
+
+test("grants the next slot to a request that only a refused run tells of", () => {
+  const dispatcher = createDispatcher(1);
+  const router = new FakeRouter();
+  dispatcher.admit(router, createRun("a", 0));
+  const refused = dispatcher.admit(router, createRun("a", 0, 1));
+  assert.equal(refused.type, "busy");
+  dispatcher.release();
+  assert.equal(router.grants.length, 1);
+});
+
 test("notifies a router refused as busy once a slot is free", () => {
   const dispatcher = createDispatcher(1);
   const router = new FakeRouter();
@@ -116,7 +137,8 @@
   dispatcher.setPaused(true);
   dispatcher.setDemand(router, [["a", 5, 0]]);
   assert.equal(router.grants.length, 0);
-  assert.equal(dispatcher.admit(router, createRun("a", 0)).type, "busy");
+  assert.equal(dispatcher.admit(router, createRun("a", 0, 5)).type, "busy");
+  assert.equal(router.grants.length, 0);
   dispatcher.setPaused(false);
   assert.equal(router.grants.length, 2);
 });
