Decide in one place which refusals need a recent configuration

Behaviour stays as it is.

Cause: each of the four refusals that depend on the configuration (401, 404, 413, 431) was wrapped by itself, and the code of a cut-off body was compared to leave it out. A refusal that is added later would be for good whatever the configuration's age.

Change: admit maps all failures of its checks at once. Refusals that tell no time to come back depend on the configuration, but for malformed requests (400). Ruled out: one backoff for call_failures.ts and request_dispatcher.ts, as their jitter differs.

--- a/src/direct/admit.ts
+++ b/src/direct/admit.ts
@@ -61,6 +61,15 @@
   deps: AdmitDependencies,
   request: IncomingMessage,
   options: AdmitOptions,
+): Promise<Result<AdmittedRequest, Failure>> {
+  const checked = await check(deps, request, options);
+  return checked.mapErr((failure) => rejectionOf(deps.configuration, failure));
+}
+
+async function check(
+  deps: AdmitDependencies,
+  request: IncomingMessage,
+  options: AdmitOptions,
 ): Promise<Result<AdmittedRequest, Failure>> {
   const { dialect, configuration } = deps;
   const terms = dialect.readRequest(request.headers);
@@ -75,19 +84,14 @@
   const { headerBytes: limitBytes, bodyBytes } = table.limits;
   if (headerBytesOf(request.rawHeaders) > limitBytes) {
     const sentence = `Request headers exceed the limit of ${limitBytes} bytes`;
-    const failure = badRequest(431, "headers-too-long", { sentence });
-    return err(refusalOf(configuration, failure));
+    return err(badRequest(431, "headers-too-long", { sentence }));
   }
   const body = await readBody(request, bodyBytes);
-  if (body.isErr()) {
-    const { error } = body;
-    const isCutOff = error.code === "body-cut-off";
-    return err(isCutOff ? error : refusalOf(configuration, error));
-  }
+  if (body.isErr()) return err(body.error);
   // Reading the body may take long: use the configuration in force now.
   const read = { terms: terms.value, body: body.value };
   const route = routeOf(configuration.table ?? table, request);
-  if (route.isErr()) return err(refusalOf(configuration, route.error));
+  if (route.isErr()) return err(route.error);
   options.logFields.route = route.value.name;
   return authorize(deps, route.value, { ...read, ...options });
 }
@@ -116,14 +120,17 @@
 }
 
 /**
- * Returns how to reject a request that the configuration doesn't allow: for good,
- * or to another router if a newer version that allows it may be in force.
+ * Returns how to reject a request that failed a check: for good, or to another
+ * router if a newer configuration that allows the request may be in force.
  */
-function refusalOf(
+function rejectionOf(
   { permitsRefusal }: ConfigurationState,
   failure: Failure,
 ): Failure {
-  return permitsRefusal ? failure : unavailableHere("configuration-too-old");
+  const isMalformed = failure.status === 400;
+  const isFinal = failure.retryAfterMs === null;
+  if (permitsRefusal || isMalformed || !isFinal) return failure;
+  return unavailableHere("configuration-too-old");
 }
 
 /** Returns the route that a request's host and path select; null for none. */
@@ -158,7 +165,7 @@
 ): Result<AdmittedRequest, Failure> {
   const { terms, body, arrivedMs, logFields } = read;
   const team = teamOf(configuration.table, route, terms);
-  if (team.isErr()) return err(refusalOf(configuration, team.error));
+  if (team.isErr()) return err(team.error);
   if (route.requiresKey && !configuration.keysAreFresh) {
     return err(unavailableHere("keys-too-old"));
   }
--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -33,16 +33,11 @@
 import { StreamOrigins } from "./stream_origins.ts";
 
 /**
- * Share of the key revocation bound for which API keys are trusted without a
- * confirmation that they are current. The rest allows for clock drift only: the
- * bound permits a request that was sent before its end to run after it.
+ * Share of a bound for which a confirmation of the configuration is relied on. The
+ * rest allows for clock drift only: the bounds permit a request that was sent before
+ * their end to be handled after it.
  */
-const KEYS_MAX_AGE_SHARE = 0.95;
-/**
- * Share of the bound for changes of the configuration for which requests are
- * refused for good. The rest allows for clock drift.
- */
-const REFUSAL_MAX_AGE_SHARE = 0.95;
+const CONFIRMATION_SHARE = 0.95;
 /**
  * Time after the shutdown signal for which new connections are accepted. The
  * load balancer probes once a second and drops a router after two failures.
@@ -349,8 +344,8 @@
   configurationMs,
 }: DirectRouterSettings): ConfigurationLimits {
   return {
-    keysMaxAgeMs: revocationMs * KEYS_MAX_AGE_SHARE,
-    refusalMaxAgeMs: configurationMs * REFUSAL_MAX_AGE_SHARE,
+    keysMaxAgeMs: revocationMs * CONFIRMATION_SHARE,
+    refusalMaxAgeMs: configurationMs * CONFIRMATION_SHARE,
   };
 }
 
--- a/src/direct/exchange.ts
+++ b/src/direct/exchange.ts
@@ -42,7 +42,9 @@
  * do; on a new connection, the caller gets another router.
  */
 const LASTING_REFUSALS = new Set([
-  ...["no-configuration", "configuration-too-old", "keys-too-old"],
+  "no-configuration",
+  "configuration-too-old",
+  "keys-too-old",
   "overloaded",
 ]);
 /**
--- a/tests/on_platform/end_to_end_test.ts
+++ b/tests/on_platform/end_to_end_test.ts
@@ -20,6 +20,7 @@
 import { until } from "../../tools/fleet/until.ts";
 import { respondCompletely } from "../direct/fixture.ts";
 import {
+  DEFAULT_BOUNDS,
   type Program,
   type Role,
   render,
@@ -62,11 +63,7 @@
     listen: { front: `127.0.0.1:${front}`, ready: `127.0.0.1:${ready}` },
     internalPorts: [admission, admission + 1],
     platform: { address: `127.0.0.1:${portOf(storeServer)}` },
-    bounds: {
-      ...{ graceS: 4, revokeMs: 5_000, stableWindowMs: 3_000, drainMs: 2_000 },
-      ...{ budgetRatio: 0.2, budgetWindowS: 10, retrySlack: 50 },
-      configMs: 2_000,
-    },
+    bounds: DEFAULT_BOUNDS,
   };
 }
 
--- a/tests/on_platform/program_fixture.ts
+++ b/tests/on_platform/program_fixture.ts
@@ -21,7 +21,8 @@
 
 const TIMEOUT_MS = 15_000;
 const ROOT = new URL("../../../", import.meta.url).pathname;
-const DEFAULT_BOUNDS = {
+/** Bounds that the platform fills into settings templates. */
+export const DEFAULT_BOUNDS = {
   ...{ graceS: 4, revokeMs: 5_000, stableWindowMs: 3_000, drainMs: 2_000 },
   ...{ budgetRatio: 0.2, budgetWindowS: 10, retrySlack: 50, configMs: 2_000 },
 };
