Review case 1: keep to the time for which the site plays garble

Run: review/1/run.sh six times, with TROUBLE=0 once; twice in a fresh clone beside four busy processes before this change. Seen: failed each time, 4 to 19 answers of 8 to 20 that were reset; held with TROUBLE=0.

--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -7,6 +7,8 @@
 const PARALLEL = 6;
 /** One of so many answers of a faulty replica breaks off: x = 0.05. */
 const BROKEN_OF = 20;
+/** Time in which answers break off. */
+const GARBLE_MS = 5_500;
 /** Half of the replicas of each service: share = 0.5. */
 const FAULTY = new Set(["i-1", "i-2", "a-1", "a-2"]);
 
@@ -26,14 +28,14 @@
 }
 
 /** Answers without a length: they end with their channel. */
-function answerOf(kind, replicaId, brokenOff) {
+function answerOf(kind, replicaId, { brokenOff, isGarbling }) {
   let answers = 0;
   return async (request) => {
     const { socket, id } = request;
     const type = kind === "ticket" ? "text/plain" : "text/event-stream";
     answers += 1;
     const breaksOff =
-      kit.TROUBLE && FAULTY.has(replicaId) && answers % BROKEN_OF === 0;
+      isGarbling() && FAULTY.has(replicaId) && answers % BROKEN_OF === 0;
     socket.write(
       `HTTP/1.1 200 OK\r\n${kit.sealed(request, `seal-${id}`)}` +
         `Content-Type: ${type}\r\n\r\n`,
@@ -55,21 +57,25 @@
   await run.startStore(kit.configurationOf([kit.TICKET_ROUTE, DIGEST_ROUTE]));
   /** Requests whose answers replicas have broken off. */
   const brokenOff = new Set();
+  let garbleUntilMs = 0;
+  const isGarbling = () => performance.now() < garbleUntilMs;
+  const faults = { brokenOff, isGarbling };
   const replicas = [];
   for (const id of ["i-1", "i-2", "i-3", "i-4"]) {
-    const answer = answerOf("digest", id, brokenOff);
+    const answer = answerOf("digest", id, faults);
     const options = { id, service: "desk-model", slots: 64, answer };
     const replica = await run.startReplica(options);
     replicas.push(replica);
     await run.startAdmission(replica, { service: "desk-model" });
   }
   for (const id of ["a-1", "a-2", "a-3", "a-4"]) {
-    const answer = answerOf("ticket", id, brokenOff);
+    const answer = answerOf("ticket", id, faults);
     const options = { id, service: "desk-app", slots: 16, answer };
     replicas.push(await run.startReplica(options));
   }
   const router = await run.startRouter();
   await kit.sleep(1_000);
+  if (kit.TROUBLE) garbleUntilMs = performance.now() + GARBLE_MS;
 
   const broken = [];
   let whole = 0;
