Review case 2: keep to the time for which the site plays garble

Run: review/2/run.sh six times, with TROUBLE=0 once; twice in a fresh clone beside four busy processes before this change. Seen: failed each time, the one answer that was broken off; held with TROUBLE=0.

--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -11,6 +11,8 @@
 const FAULTY = "i-3";
 /** One of so many of its answers breaks off: x = 0.05. */
 const BROKEN_OF = 20;
+/** Time in which answers break off. */
+const GARBLE_MS = 5_500;
 const FAILURE = JSON.stringify({
   error: { code: "unknown-model", message: "This replica doesn't hold m" },
 });
@@ -27,13 +29,15 @@
 await kit.main(import.meta.url, async (run) => {
   await run.startStore(kit.configurationOf([kit.RESUMABLE_ROUTE]));
   let answersOfFaulty = 0;
+  let garbleUntilMs = 0;
   /** Requests whose answer was broken off. */
   const brokenOff = new Set();
 
   const fail = async (request) => {
     const { socket, id } = request;
     answersOfFaulty += 1;
-    const breaksOff = kit.TROUBLE && answersOfFaulty % BROKEN_OF === 0;
+    const breaksOff =
+      performance.now() < garbleUntilMs && answersOfFaulty % BROKEN_OF === 0;
     const isChunked = answersOfFaulty % (2 * BROKEN_OF) !== 0;
     const framing = isChunked
       ? "Transfer-Encoding: chunked"
@@ -73,6 +77,7 @@
   }
   const router = await run.startRouter();
   await kit.sleep(1_000);
+  if (kit.TROUBLE) garbleUntilMs = performance.now() + GARBLE_MS;
 
   const broken = [];
   const statuses = new Map();
