--- a/review/1/case.mjs
+++ b/review/1/case.mjs
@@ -1,6 +1,6 @@
 // Replicas reset some of their answers that have no length, right after a part.
 
-import * as kit from "../lib/harness.mjs";
+import * as kit from "../harness.mjs";
 
 const DEADLINE_MS = 4_000;
 const REQUESTS = 800;
--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,7 +1,7 @@
 // A replica breaks off some of its answers, among them failures on a route
 // whose streams may be resumed.
 
-import * as kit from "../lib/harness.mjs";
+import * as kit from "../harness.mjs";
 
 const EVENTS = 6;
 const DEADLINE_MS = 5_000;
--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,6 +1,6 @@
 // A replica crashes while it sends streams to which it has given a length.
 
-import * as kit from "../lib/harness.mjs";
+import * as kit from "../harness.mjs";
 
 const EVENTS = 20;
 const EVENT_INTERVAL_MS = 60;
--- a/review/lib/harness.mjs
+++ b/review/harness.mjs
@@ -12,7 +12,7 @@
 
 export { sleep };
 
-export const ROOT = fileURLToPath(new URL("../../", import.meta.url));
+export const ROOT = fileURLToPath(new URL("../", import.meta.url));
 /** Whether the disruption takes place. */
 export const TROUBLE = process.env.TROUBLE !== "0";
 export const KEY = "key-of-porters";
@@ -40,6 +40,11 @@
 
   constructor(caseUrl) {
     this.#recordPath = fileURLToPath(new URL("record.txt", caseUrl));
+    process.on("exit", () => {
+      for (const { child } of this.#programs) child.kill("SIGKILL");
+    });
+    for (const signal of ["SIGTERM", "SIGINT", "SIGHUP"])
+      process.on(signal, () => process.exit(2));
     this.log(`case started, TROUBLE=${TROUBLE ? 1 : 0}`);
   }
 
