--- a/review/harness.mjs
+++ b/review/harness.mjs
@@ -42,6 +42,7 @@
     this.#recordPath = fileURLToPath(new URL("record.txt", caseUrl));
     process.on("exit", () => {
       for (const { child } of this.#programs) child.kill("SIGKILL");
+      rmSync(this.#folder, { recursive: true, force: true });
     });
     for (const signal of ["SIGTERM", "SIGINT", "SIGHUP"])
       process.on(signal, () => process.exit(2));
