Direct path: a response that is reset with its last bytes isn't complete

Cause: libuv ends a stream on a hang-up after a short read and leaves the socket's error in the kernel, so the relay took a reset for the server's FIN.

Ruled out: an error that was reported and ignored.

--- a/src/direct/backend_connection.ts
+++ b/src/direct/backend_connection.ts
@@ -4,6 +4,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { type buildConnector, Client, type Dispatcher } from "undici";
 import type { BackendServer } from "../directory/mod.ts";
+import { errorAtEnd } from "./connection_end.ts";
 import { OverheadLimit } from "./overhead_limit.ts";
 
 /**
@@ -48,6 +49,9 @@
     socket.on("error", (error) => {
       this.#error = error;
     });
+    socket.prependListener("end", () => {
+      this.#error ??= errorAtEnd(socket);
+    });
     let isSocketTaken = false;
     const provideSocket = (callback: buildConnector.Callback) => {
       if (isSocketTaken) callback(new Error("Connection has ended"), null);
@@ -109,7 +113,7 @@
     return this.#sentRequests <= 1;
   }
 
-  /** The socket's error; null if there was none. */
+  /** The socket's error, a reset too; null if there was none. */
   get error(): Error | null {
     return this.#error;
   }
