Direct path: only a stream that has started is continued with another server's

Cause: whether a response may go on was read from its route; nothing kept whether what had started for the caller is a stream at all.

Ruled out: a next response that is no stream; its head is checked, and the case's was one.

Change: CallerResponse keeps, as it starts, whether streams may go on in it. Retries, hedges and the relay ask it.

--- a/src/direct/caller_response.ts
+++ b/src/direct/caller_response.ts
@@ -30,6 +30,12 @@
   readonly idleTimeoutMs: () => number | null;
 }
 
+/** What may follow the first part of a response. */
+export interface ResponseStart {
+  /** Whether streams of other servers may go on in it where it breaks off. */
+  readonly isResumable: boolean;
+}
+
 const MS_PER_SECOND = 1_000;
 
 /** Writes one response and detects a disconnect of its caller. */
@@ -39,6 +45,7 @@
   readonly #options: CallerResponseOptions;
   readonly #disconnect = new AbortController();
   #status: number | null = null;
+  #isResumable = false;
 
   constructor(
     request: IncomingMessage,
@@ -81,6 +88,11 @@
     return this.#status !== null;
   }
 
+  /** Whether a status was sent, and the stream of another server may follow. */
+  get isResumable(): boolean {
+    return this.#isResumable;
+  }
+
   /** Whether the whole response was written; it may not be flushed yet. */
   get hasEnded(): boolean {
     return this.#response.writableEnded;
@@ -92,8 +104,13 @@
   }
 
   /** Sends a backend server's status and headers. */
-  start(status: number, headers: ResponseHeaders): void {
+  start(
+    status: number,
+    headers: ResponseHeaders,
+    { isResumable }: ResponseStart,
+  ): void {
     this.#status = status;
+    this.#isResumable = isResumable;
     const response = this.#response;
     response.statusCode = status;
     for (const [name, value] of Object.entries(headers)) {
--- a/src/direct/relay.ts
+++ b/src/direct/relay.ts
@@ -218,10 +218,10 @@
   #dispositionOf(status: number, { notRun }: ResponseTerms): Disposition {
     if (notRun) return "not-run";
     const failed = status >= 500 && this.#options.withholdsFailures;
-    // A response that has started can only be resumed by another stream.
-    const canResume =
-      this.#options.splitter !== null && isEventStream(status, this.#headers);
-    const cannotResume = this.#response.hasStarted && !canResume;
+    // Only a stream that has started can be resumed, and only by a stream.
+    const { hasStarted, isResumable } = this.#response;
+    const canResume = isResumable && isEventStream(status, this.#headers);
+    const cannotResume = hasStarted && !canResume;
     return failed || cannotResume ? "failed" : "forward";
   }
 
@@ -283,8 +283,10 @@
 
   #startResponse(): void {
     this.#options.onClaim();
-    if (!this.#response.hasStarted)
-      this.#response.start(this.#status, this.#headers);
+    if (this.#response.hasStarted) return;
+    const { splitter } = this.#options;
+    const isResumable = splitter !== null && this.#events === splitter;
+    this.#response.start(this.#status, this.#headers, { isResumable });
   }
 
   #onEnd(): void {
--- a/src/direct/request_sender.ts
+++ b/src/direct/request_sender.ts
@@ -135,9 +135,9 @@
   get isRepeatable(): boolean {
     const { admitted, response } = this.#options;
     const isIdempotent = admitted.route.repetition !== "non-idempotent";
-    // Only an event stream can go on from another server where it broke off.
+    // What has started may be no stream, as a failure on a route of streams.
     const canContinue =
-      (this.#progress !== null || !response.hasStarted) &&
+      (!response.hasStarted || response.isResumable) &&
       (this.#origin === null || this.#deps.origins.isCertain(this.#origin));
     return isIdempotent && canContinue && this.maySendAgain;
   }
--- a/tests/direct/takeover_test.ts
+++ b/tests/direct/takeover_test.ts
@@ -132,3 +132,65 @@
   assert.ok(isComplete, "The response of the silent server was cut");
   assert.ok(!text.includes("y"), "Bodies of two runs are joined");
 });
+
+/** Starts a response that is no event stream, on a route of streams. */
+function startOther(
+  received: ReceivedRequest,
+  status: string,
+  framing: string,
+) {
+  const head = `HTTP/1.1 ${status}\r\n${serverHeaders(received)}`;
+  const type = "Content-Type: application/json\r\n";
+  received.socket.write(`${head}${type}${framing}`);
+}
+
+const UNKNOWN_MODEL = '{"error": "unknown model"}';
+const CHUNKED = "Transfer-Encoding: chunked\r\n\r\n";
+const otherStarts = [
+  ["a 404 in chunks", "404 No", `${CHUNKED}8\r\n{"error"\r\n`],
+  ["a 404 with a length", "404 No", 'Content-Length: 26\r\n\r\n{"error"'],
+  ["a 404 without a length", "404 No", '\r\n{"error"'],
+  ["a 200 of another type", "200 OK", `${CHUNKED}8\r\n{"error"\r\n`],
+] as const;
+
+function streamBothEvents(received: ReceivedRequest): void {
+  startStream(received, FIRST_EVENT + SECOND_EVENT);
+  endStream(received);
+}
+
+// Guards against a stream of another server that is appended to a failure.
+for (const [what, status, framing] of otherStarts) {
+  test(`${what} that breaks off isn't continued with a stream`, async () => {
+    const breakOff = async (received: ReceivedRequest) => {
+      startOther(received, status, framing);
+      await delay(OBJECTIVE_MS / 4);
+      received.socket.resetAndDestroy();
+    };
+    await start(breakOff, streamBothEvents, RESUMABLE);
+    const { text, isComplete } = await call();
+    assert.deepEqual([text, isComplete], ['{"error"', false]);
+  });
+
+  test(`${what} that falls silent isn't continued with a stream`, async () => {
+    const fallSilent = (received: ReceivedRequest) =>
+      startOther(received, status, framing);
+    await start(fallSilent, streamBothEvents, RESUMABLE);
+    const { text, isComplete } = await call();
+    assert.deepEqual([text, isComplete], ['{"error"', false]);
+  });
+}
+
+test("a 404 that comes after a silence is whole beside a stream", async () => {
+  const respondLate = async (received: ReceivedRequest) => {
+    await delay(SILENCE_MS);
+    startOther(received, "404 No", "Content-Length: 26\r\n\r\n");
+    received.socket.write(UNKNOWN_MODEL);
+  };
+  const streamLater = async (received: ReceivedRequest) => {
+    await delay(SILENCE_MS);
+    streamBothEvents(received);
+  };
+  await start(respondLate, streamLater, RESUMABLE);
+  const { text, isComplete } = await call();
+  assert.deepEqual([text, isComplete], [UNKNOWN_MODEL, true]);
+});
