Signals: a second SIGTERM or SIGINT doesn't end a process that shuts down

Cause: the signals' listeners were removed after the first signal, so the second one had its default action. Ruled out: a second run of close(); nothing is logged.

Change: the listeners stay.

--- a/src/common/promises.ts
+++ b/src/common/promises.ts
@@ -7,11 +7,14 @@
   await delay(ms, undefined, { signal, ref: true }).catch(() => undefined);
 }
 
-/** Resolves on the first SIGTERM or SIGINT. */
+/**
+ * Resolves on the first SIGTERM or SIGINT; later ones have no effect. Without a
+ * listener they would end the process before it has finished its requests.
+ */
 export function waitForTermination(): Promise<void> {
   return new Promise((resolve) => {
-    process.once("SIGTERM", () => resolve());
-    process.once("SIGINT", () => resolve());
+    process.on("SIGTERM", () => resolve());
+    process.on("SIGINT", () => resolve());
   });
 }
 
