Shutdown: late uploads that may outlast it are refused as not run

Cause: a stop decided about a request when its head came, and placed it whenever its body was complete. Ruled out: requests that wait for a server; their wait is bounded.

Change: once listening has ended, a request whose body has just become complete is refused with 503, unless its deadline comes before connections are closed.

--- a/src/direct/exchange.ts
+++ b/src/direct/exchange.ts
@@ -165,7 +165,13 @@
   }
 
   async #serve(requested: AdmittedRequest): Promise<void> {
-    const { retryBudget, teamShares } = this.#deps;
+    const { retryBudget, teamShares, scheduler } = this.#deps;
+    // A request whose body was read during a shutdown may take until its
+    // deadline, and would be cut at the end; nothing has run yet.
+    if (scheduler.closesBefore(requested.deadlineAtMs)) {
+      this.#fail(unavailableHere("stopping"));
+      return;
+    }
     const found = await findOrigin(this.#deps.origins, requested);
     if (found.isErr()) {
       this.#fail(found.error);
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -263,6 +263,11 @@
     this.#check();
   }
 
+  /** Whether a shutdown closes connections before a monotonic time. */
+  closesBefore(atMs: number): boolean {
+    return this.#closeAtMs < atMs;
+  }
+
   /** Refuses all requests that wait or arrive later. */
   close(): void {
     this.#closed = true;
--- a/tests/direct/shutdown_test.ts
+++ b/tests/direct/shutdown_test.ts
@@ -11,7 +11,12 @@
   type RouterFixture,
   respondCompletely,
 } from "./fixture.ts";
-import { callRaw } from "./raw_caller.ts";
+import {
+  type Caller,
+  callRaw,
+  connectCaller,
+  requestHead,
+} from "./raw_caller.ts";
 
 const TIMEOUT_MS = 10_000;
 /** Interval of the requests of a load, each on a connection of its own. */
@@ -26,6 +31,14 @@
   return { status: response.statusCode, text, headers: response.headers };
 }
 
+/** Sends a request whose last byte follows once `finish` is called. */
+async function startUpload({ port }: RouterFixture, deadlineMs: number) {
+  const caller = await connectCaller(port);
+  const lines = ["Content-Length: 4"];
+  caller.socket.write(`${requestHead("POST", { lines, deadlineMs })}bod`);
+  return { ...caller, finish: () => caller.socket.write("y") };
+}
+
 async function readiness({ readyPort }: RouterFixture): Promise<number> {
   const response = await request(`http://127.0.0.1:${readyPort}/ready`);
   await response.body.dump();
@@ -101,3 +114,53 @@
   await fixture.close();
   await agent.destroy();
 });
+
+// Guards against uploads that are complete late in a shutdown: they were passed on and
+// cut at its end.
+test("a late upload that may outlast the shutdown is refused as not run", async (t) => {
+  const graceSeconds = 2;
+  const fixture = await createRouterFixture({
+    graceSeconds,
+    configuration: createConfiguration({
+      routes: [createRoute({ repetition: "non-idempotent" })],
+    }),
+    // Takes longer than is left of the grace period.
+    scripts: [
+      (one) => {
+        setTimeout(() => respondCompletely(one), graceSeconds * 1_000);
+      },
+    ],
+  });
+  t.after(() => fixture.close());
+  const long = await startUpload(fixture, 5_000);
+  const closed = fixture.router.close();
+  await until("listening has stopped", TIMEOUT_MS, {
+    holds: () => connectCaller(fixture.port).then(destroy, () => true),
+  });
+  long.finish();
+  await until("the upload is refused", TIMEOUT_MS, {
+    holds: () => /^HTTP\/1\.1 503[\s\S]*"not-run"/.test(long.seen.text),
+  });
+  await closed;
+  assert.equal(fixture.servers[0]?.requests.length, 0);
+});
+
+test("a late upload whose deadline comes before the shutdown's end is served", async (t) => {
+  const fixture = await createRouterFixture({ graceSeconds: 3 });
+  t.after(() => fixture.close());
+  const short = await startUpload(fixture, 2_000);
+  const closed = fixture.router.close();
+  await until("listening has stopped", TIMEOUT_MS, {
+    holds: () => connectCaller(fixture.port).then(destroy, () => true),
+  });
+  short.finish();
+  await until("the upload is answered", TIMEOUT_MS, {
+    holds: () => /^HTTP\/1\.1 200[\s\S]*fine$/.test(short.seen.text),
+  });
+  await closed;
+});
+
+function destroy({ socket }: Caller): false {
+  socket.destroy();
+  return false;
+}
