Side process: a response that is reset with its last bytes isn't complete

Change: each client of the pool asks its socket's kernel for an error at `end`, as the direct path does, and fails the response. errorAtEnd moves to src/common.

--- a/src/direct/backend_connection.ts
+++ b/src/direct/backend_connection.ts
@@ -3,8 +3,8 @@
 import { connect as connectTcp, type Socket } from "node:net";
 import { err, ok, type Result } from "neverthrow";
 import { type buildConnector, Client, type Dispatcher } from "undici";
+import { errorAtEnd } from "../common/connection_end.ts";
 import type { BackendServer } from "../directory/mod.ts";
-import { errorAtEnd } from "./connection_end.ts";
 import { OverheadLimit } from "./overhead_limit.ts";
 
 /**
--- a/src/side_process/backend_client.ts
+++ b/src/side_process/backend_client.ts
@@ -1,11 +1,12 @@
 /** HTTP client of this side process's backend server. */
 
 import { err, ok, type Result } from "neverthrow";
-import { Agent, type Dispatcher, request } from "undici";
+import { buildConnector, type Dispatcher, type Pool, request } from "undici";
 import { messageOf } from "../common/error_message.ts";
 import { HOP_BY_HOP_HEADERS } from "../common/hop_by_hop_headers.ts";
 import type { BackendServer } from "../configuration/mod.ts";
 import type { Header, RunRequest } from "../protocol/mod.ts";
+import { createServerPool } from "./server_client.ts";
 
 /** Connections beyond two per slot: health checks, cancels, resumes. */
 const SPARE_CONNECTIONS = 16;
@@ -50,16 +51,13 @@
 /** Sends requests to one backend server over a pool of connections. */
 export class BackendClient {
   readonly #server: BackendServer;
-  readonly #agent: Agent;
+  readonly #pool: Pool;
 
   constructor(server: BackendServer) {
     this.#server = server;
-    this.#agent = new Agent({
+    this.#pool = createServerPool(server.url, {
       connections: server.slots * 2 + SPARE_CONNECTIONS,
-      pipelining: 1,
-      headersTimeout: 0,
-      bodyTimeout: 0,
-      connect: { timeout: CONNECT_TIMEOUT_MS },
+      connect: buildConnector({ timeout: CONNECT_TIMEOUT_MS }),
     });
   }
 
@@ -134,7 +132,7 @@
 
   /** Closes every connection. */
   async close(): Promise<void> {
-    await this.#agent.destroy();
+    await this.#pool.destroy();
   }
 
   async #call(
@@ -149,7 +147,7 @@
     try {
       const response = await request(this.#server.url + path, {
         ...options,
-        dispatcher: this.#agent,
+        dispatcher: this.#pool,
       });
       return ok({
         status: response.statusCode,
--- /dev/null
+++ b/src/side_process/server_client.ts
@@ -0,0 +1,96 @@
+/** An HTTP client that tells a response that was reset from a whole one. */
+
+import {
+  type buildConnector,
+  Client,
+  DecoratorHandler,
+  type Dispatcher,
+  Pool,
+} from "undici";
+import { errorAtEnd } from "../common/connection_end.ts";
+
+/** Options of a pool of clients. */
+export interface ServerPoolOptions {
+  /** Most connections that are open at once. */
+  readonly connections: number;
+  readonly connect: buildConnector.connector;
+}
+
+/**
+ * Returns a pool of connections to a server, each for one request at a time. A
+ * response without a length that is reset fails; undici takes some resets for
+ * its end.
+ */
+export function createServerPool(
+  url: string,
+  { connections, connect }: ServerPoolOptions,
+): Pool {
+  const timeouts = { headersTimeout: 0, bodyTimeout: 0 };
+  return new Pool(url, {
+    ...{ connections, pipelining: 1, ...timeouts, connect },
+    factory: (origin, options) => new ServerClient(origin, options, connect),
+  });
+}
+
+/** State of the connection that a client has now. */
+interface ConnectionState {
+  /** Why it has ended; null while it is open, and after the peer's FIN. */
+  error: Error | null;
+}
+
+class ServerClient extends Client {
+  readonly #connection: ConnectionState;
+
+  constructor(
+    origin: URL,
+    options: Client.Options,
+    connect: buildConnector.connector,
+  ) {
+    const connection: ConnectionState = { error: null };
+    super(origin, {
+      ...options,
+      connect: (target, callback) => {
+        connect(target, (...[error, socket]) => {
+          if (error !== null) {
+            callback(error, null);
+            return;
+          }
+          connection.error = null;
+          socket.prependListener("end", () => {
+            connection.error = errorAtEnd(socket);
+          });
+          callback(null, socket);
+        });
+      },
+    });
+    this.#connection = connection;
+  }
+
+  override dispatch(
+    options: Dispatcher.DispatchOptions,
+    handler: Dispatcher.DispatchHandler,
+  ): boolean {
+    return super.dispatch(options, checkEnd(handler, this.#connection));
+  }
+}
+
+/** Returns a handler that fails where a connection ends by an error. */
+function checkEnd(
+  inner: Dispatcher.DispatchHandler,
+  connection: ConnectionState,
+): Dispatcher.DispatchHandler {
+  // A pool passes handlers on in undici's older form; this has the newer one.
+  const handler: Dispatcher.DispatchHandler = new DecoratorHandler(inner);
+  return {
+    onRequestStart: (...args) => handler.onRequestStart?.(...args),
+    onRequestUpgrade: (...args) => handler.onRequestUpgrade?.(...args),
+    onResponseStart: (...args) => handler.onResponseStart?.(...args),
+    onResponseData: (...args) => handler.onResponseData?.(...args),
+    onResponseError: (...args) => handler.onResponseError?.(...args),
+    onResponseEnd: (controller, trailers) => {
+      const { error } = connection;
+      if (error === null) handler.onResponseEnd?.(controller, trailers);
+      else handler.onResponseError?.(controller, error);
+    },
+  };
+}
