Direct path: large responses without a length, too, hold what is read with a reset

Cause: a response over the buffer limit was forwarded in the turn in which its reset was read, so its caller, starved there, read both at once, which Node reports as an end.

Change: what is buffered passes through the same turn of the event loop as what streams. callRaw, the tests' caller, asks its kernel for a reset at `end`, as the router does.

Result: "a large unframed response that is reset at once isn't forwarded" failed before; the 24 tests of the file pass.

--- a/src/direct/relay.ts
+++ b/src/direct/relay.ts
@@ -243,8 +243,7 @@
     // A server that sends parts of an event now and then is as good as silent.
     if (this.#options.splitter === null) this.#noteActivity();
     if (this.#buffered === null) {
-      if (this.#lastsUntilClose) this.#hold(controller, chunk);
-      else this.#forward(controller, chunk);
+      this.#pass(controller, chunk);
       return;
     }
     this.#buffered.push(chunk);
@@ -253,11 +252,15 @@
   }
 
   /**
-   * Forwards bytes in the next turn of the event loop: a reset that was read
-   * together with them is known by then, and a caller that got both at once
-   * could take it for the end.
+   * Forwards bytes; those of a response without a length in the next turn of the
+   * event loop. A reset that was read together with them is known by then, and a
+   * caller that got both at once could take it for the end.
    */
-  #hold(controller: Controller, chunk: Buffer): void {
+  #pass(controller: Controller, chunk: Buffer): void {
+    if (!this.#lastsUntilClose) {
+      this.#forward(controller, chunk);
+      return;
+    }
     this.#held.push(chunk);
     if (this.#held.length === 1)
       setImmediate(() => this.#forwardHeld(controller));
@@ -299,7 +302,7 @@
   #flush(controller: Controller): void {
     const buffered = Buffer.concat(this.#buffered ?? []);
     this.#buffered = null;
-    this.#forward(controller, buffered);
+    this.#pass(controller, buffered);
   }
 
   get #lastsUntilClose(): boolean {
--- a/tests/direct/raw_caller.ts
+++ b/tests/direct/raw_caller.ts
@@ -2,6 +2,7 @@
 
 import { once } from "node:events";
 import { connect, type Socket } from "node:net";
+import { errorAtEnd } from "../../src/common/connection_end.ts";
 
 /** What a caller has received, and how its connection ended. */
 export interface RawResponse {
@@ -27,7 +28,11 @@
     socket.on("data", (chunk) => {
       text += chunk.toString("latin1");
     });
-    socket.on("end", () => resolve({ text, end: "closed" }));
+    // A reset that is read together with data is reported as an end.
+    socket.prependListener("end", () => {
+      const isReset = errorAtEnd(socket) !== null;
+      resolve({ text, end: isReset ? "reset" : "closed" });
+    });
     socket.on("error", () => resolve({ text, end: "reset" }));
   });
 }
--- a/tests/direct/response_end_test.ts
+++ b/tests/direct/response_end_test.ts
@@ -96,6 +96,17 @@
   assert.equal((await call()).end, "reset");
 });
 
+test("a large unframed response that is reset at once isn't forwarded", async () => {
+  const script: Script = (request) => {
+    const head = `HTTP/1.1 200 OK\r\n${serverHeaders(request)}`;
+    request.socket.write(`${head}\r\n${"x".repeat(OVER_BUFFER_LIMIT_BYTES)}`);
+    request.socket.resetAndDestroy();
+  };
+  await start(script, createRoute({ repetition: "non-idempotent" }));
+  for (let repeat = 0; repeat < 10; repeat += 1)
+    assert.equal((await call()).status, 502);
+});
+
 const unframedRoutes = [
   ["a ticket", createRoute({ repetition: "non-idempotent" })],
   ["a stream", NOT_RESUMABLE],
