Shutdown: refuse late uploads only where their caller was slow

Cause, as far as read: refused every request that was read after listening had ended, also those that had come whole before to a router that was busy. Ruled out: longer stops; the routers' stop and start times are alike.

Change: only requests whose body took over 0.2 s to read are refused so.

--- a/src/direct/exchange.ts
+++ b/src/direct/exchange.ts
@@ -53,6 +53,12 @@
  */
 const COME_BACK_MS = 20;
 
+/**
+ * Time after which reading a request was a wait for its caller. One that has come
+ * whole, but to a busy router, is read within milliseconds once its turn comes.
+ */
+const SLOW_UPLOAD_MS = 200;
+
 /** Dependencies of an exchange. */
 export interface ExchangeDependencies extends RequestSenderDependencies {
   readonly configuration: ConfigurationState;
@@ -125,12 +131,21 @@
 
   /** Serves the request and logs its end. */
   async run(): Promise<void> {
+    const { clock, scheduler } = this.#deps;
+    const startedMs = clock.monotonicMs();
     const admitted = await admit(this.#deps, this.#request, {
       arrivedMs: this.#record.arrivedMs,
       logFields: this.#record.logFields,
     });
+    const uploadMs = clock.monotonicMs() - startedMs;
     if (admitted.isErr()) this.#fail(admitted.error);
-    else await this.#serve(admitted.value);
+    else if (
+      uploadMs > SLOW_UPLOAD_MS &&
+      scheduler.closesBefore(admitted.value.deadlineAtMs)
+    ) {
+      // It may take until its deadline, and would be cut at the shutdown's end.
+      this.#fail(unavailableHere("stopping"));
+    } else await this.#serve(admitted.value);
     this.#record.finish(this.#response.status);
   }
 
@@ -165,13 +180,7 @@
   }
 
   async #serve(requested: AdmittedRequest): Promise<void> {
-    const { retryBudget, teamShares, scheduler } = this.#deps;
-    // A request whose body was read during a shutdown may take until its
-    // deadline, and would be cut at the end; nothing has run yet.
-    if (scheduler.closesBefore(requested.deadlineAtMs)) {
-      this.#fail(unavailableHere("stopping"));
-      return;
-    }
+    const { retryBudget, teamShares } = this.#deps;
     const found = await findOrigin(this.#deps.origins, requested);
     if (found.isErr()) {
       this.#fail(found.error);
