Tests: one writer of bytes without end, one wait for the end of listening

endless_bytes_test and endless_listing_test each had the loop that writes without end; it is in tests/direct/fixture.ts now. The two tests of late uploads shared a wait by copy. Assertions are as before.

--- a/tests/direct/endless_bytes_test.ts
+++ b/tests/direct/endless_bytes_test.ts
@@ -14,6 +14,7 @@
   type RouterFixture,
   respondCompletely,
   serverHeaders,
+  writeEndlessly,
 } from "./fixture.ts";
 
 const DEADLINE_MS = 3_000;
@@ -33,18 +34,11 @@
   piece: string,
 ): Script {
   return (request) => {
-    const { socket } = request;
     if (request.path !== "/lookup/endless") {
       respondCompletely(request);
       return;
     }
-    socket.write(startOf(request));
-    const block = piece.repeat(Math.ceil(16_384 / piece.length));
-    const send = () => {
-      while (!socket.destroyed && socket.write(block)) {}
-    };
-    socket.on("drain", () => setImmediate(send));
-    send();
+    writeEndlessly(request, { start: startOf(request), piece });
   };
 }
 
--- a/tests/direct/fixture.ts
+++ b/tests/direct/fixture.ts
@@ -193,6 +193,20 @@
   socket.write("0\r\n\r\n");
 }
 
+/** Writes a start, then a piece for as long as the connection is open. */
+export function writeEndlessly(
+  { socket }: ReceivedRequest,
+  { start, piece }: { readonly start: string; readonly piece: string },
+): void {
+  socket.write(start);
+  const block = piece.repeat(Math.ceil(16_384 / piece.length));
+  const send = () => {
+    while (!socket.destroyed && socket.write(block)) {}
+  };
+  socket.on("drain", () => setImmediate(send));
+  send();
+}
+
 /** Lets other tasks of the process run for a moment. */
 export async function letOtherTasksRun(): Promise<void> {
   await delay(50);
--- a/tests/direct/shutdown_test.ts
+++ b/tests/direct/shutdown_test.ts
@@ -134,9 +134,7 @@
   t.after(() => fixture.close());
   const long = await startUpload(fixture, 5_000);
   const closed = fixture.router.close();
-  await until("listening has stopped", TIMEOUT_MS, {
-    holds: () => connectCaller(fixture.port).then(destroy, () => true),
-  });
+  await untilListeningStops(fixture);
   long.finish();
   await until("the upload is refused", TIMEOUT_MS, {
     holds: () => /^HTTP\/1\.1 503[\s\S]*"not-run"/.test(long.seen.text),
@@ -150,9 +148,7 @@
   t.after(() => fixture.close());
   const short = await startUpload(fixture, 2_000);
   const closed = fixture.router.close();
-  await until("listening has stopped", TIMEOUT_MS, {
-    holds: () => connectCaller(fixture.port).then(destroy, () => true),
-  });
+  await untilListeningStops(fixture);
   short.finish();
   await until("the upload is answered", TIMEOUT_MS, {
     holds: () => /^HTTP\/1\.1 200[\s\S]*fine$/.test(short.seen.text),
@@ -160,7 +156,12 @@
   await closed;
 });
 
-function destroy({ socket }: Caller): false {
-  socket.destroy();
-  return false;
+async function untilListeningStops({ port }: RouterFixture): Promise<void> {
+  const destroy = ({ socket }: Caller) => {
+    socket.destroy();
+    return false;
+  };
+  await until("listening has stopped", TIMEOUT_MS, {
+    holds: () => connectCaller(port).then(destroy, () => true),
+  });
 }
--- a/tests/on_platform/endless_listing_test.ts
+++ b/tests/on_platform/endless_listing_test.ts
@@ -3,8 +3,8 @@
 import assert from "node:assert/strict";
 import { readFile } from "node:fs/promises";
 import { afterEach, test } from "node:test";
-import type { ReceivedRequest } from "../../stand_ins/scripted_server.ts";
 import { until } from "../../tools/fleet/until.ts";
+import { writeEndlessly } from "../direct/fixture.ts";
 import {
   eventsOf,
   type Program,
@@ -32,19 +32,6 @@
   return Number(kilobytes) * 1024;
 }
 
-function sendEndlessly(
-  { socket }: ReceivedRequest,
-  { start, piece }: { readonly start: string; readonly piece: string },
-): void {
-  socket.write(start);
-  const block = piece.repeat(Math.ceil(65_536 / piece.length));
-  const send = () => {
-    while (!socket.destroyed && socket.write(block)) {}
-  };
-  socket.on("drain", () => setImmediate(send));
-  send();
-}
-
 const OK = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n";
 const LISTING = '{"epoch":1,"next":1,"held":[';
 const ENTRY = '["","5c1e07a2",800,"m"],';
@@ -66,7 +53,7 @@
   test(`a cache listing without end ${kind} is given up`, async () => {
     fleet = await ProgramFleet.start();
     const server = await fleet.addServer((received) =>
-      sendEndlessly(received, sent),
+      writeEndlessly(received, sent),
     );
     const admission = await fleet.startAdmission();
     await waitForEvent(admission, "cache-unknown");
