Observability: what a router's event loop is blocked by, and when readiness changes

The logs told the longest turn only while connections waited to be accepted, and never what it was spent on, so that stalls by crash reports (hypothesis 1) and by placing (3) looked alike, and routers that take themselves out without a stall (2) were seen only where connections waited.

Adds event-loop lines (longest turn, processor share, messages decoded, crash reports, placings and their times), readiness lines, counters of received messages by type and a gauge of connected admission controllers. No decision changes.

--- a/src/direct/admission_clients.ts
+++ b/src/direct/admission_clients.ts
@@ -2,7 +2,9 @@
 
 import type { Clock } from "../common/clock.ts";
 import type { EventLog } from "../common/event_log.ts";
+import type { EventLoopProfile } from "../common/event_loop_profile.ts";
 import type { BackendServer } from "../directory/mod.ts";
+import type { MetricsRegistry } from "../metrics/mod.ts";
 import type {
   CrashReport,
   EngineConfiguration,
@@ -13,7 +15,11 @@
 } from "../protocol/mod.ts";
 import type { RouteTable } from "../routing/mod.ts";
 import type { EngineAdmission, LimitObservation } from "../scheduling/mod.ts";
-import { type Identity, Traffic } from "../transport/mod.ts";
+import {
+  type ConnectionOwner,
+  type Identity,
+  Traffic,
+} from "../transport/mod.ts";
 import { AdmissionClient, limitNotice } from "./admission_client.ts";
 import type { OriginHolder } from "./origin_queries.ts";
 import type { DirectRouterSettings } from "./settings.ts";
@@ -23,6 +29,8 @@
   readonly clock: Clock;
   readonly events: EventLog;
   readonly identity: Identity;
+  readonly profile?: EventLoopProfile;
+  readonly metrics?: MetricsRegistry;
   readonly settings: Pick<DirectRouterSettings, "gatePort" | "fleetKey">;
 }
 
@@ -150,6 +158,11 @@
     for (const client of relays.slice(0, RELAYS)) client.send(report);
   }
 
+  /** Number of controllers that are connected and have reported. */
+  get connections(): number {
+    return this.#connected.length;
+  }
+
   get #connected(): AdmissionClient[] {
     return [...this.#entries.values()]
       .map(({ client }) => client)
@@ -164,11 +177,10 @@
   #createClient(host: string): AdmissionClient {
     const { clock, events, identity, settings } = this.#deps;
     const { fleetKey } = settings;
-    const configurationVersion = () => this.#callbacks.table()?.version ?? 0;
     return new AdmissionClient({
       ...{ clock, events },
       credentials: { identity, fleetKey },
-      owner: { clock, traffic: this.#traffic, configurationVersion },
+      owner: this.#createOwner(),
       engineConfiguration: () => this.#engineConfiguration(host),
       onChange: () => this.#callbacks.onChange(),
       crashReports: () => this.#callbacks.crashReports(),
@@ -181,6 +193,17 @@
     });
   }
 
+  #createOwner(): ConnectionOwner {
+    const { clock, metrics, profile } = this.#deps;
+    return {
+      ...{ clock, traffic: this.#traffic },
+      ...(profile === undefined ? {} : { profile }),
+      configurationVersion: () => this.#callbacks.table()?.version ?? 0,
+      onReceived: (type) =>
+        metrics?.count("oriole_received_messages_total", { type }),
+    };
+  }
+
   #engineConfiguration(host: string): EngineConfiguration | null {
     const server = latestStarted(
       this.#entries.get(host)?.servers.values() ?? [],
--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -3,6 +3,7 @@
 import { randomUUID } from "node:crypto";
 import { systemClock } from "../common/clock.ts";
 import type { EventLog } from "../common/event_log.ts";
+import { EventLoopProfile } from "../common/event_loop_profile.ts";
 import { sleep } from "../common/promises.ts";
 import {
   packNotice,
@@ -57,6 +58,17 @@
 const SWEEP_INTERVAL_MS = 100;
 const MS_PER_SECOND = 1_000;
 
+/** Shorter turns of the event loop aren't logged. */
+const LOGGED_TURN_MS = 100;
+
+/** Whether a router takes callers, or why it doesn't. */
+type Readiness =
+  | "ready"
+  | "stopping"
+  | "no-configuration"
+  | "keys-too-old"
+  | "overloaded";
+
 /** One router. Call `start`, then `close`. */
 export class DirectRouter {
   /** Configuration in force; its source confirms that it is current. */
@@ -78,6 +90,8 @@
   readonly #readyEndpoint: MonitoringEndpoint;
   readonly #metricsEndpoint: MonitoringEndpoint;
   readonly #teamTally = new TeamTally();
+  readonly #profile: EventLoopProfile;
+  #readiness: Readiness = "no-configuration";
   #sweepTimer: NodeJS.Timeout | null = null;
   #teamLogTimer: NodeJS.Timeout | null = null;
   #closing = false;
@@ -89,6 +103,8 @@
     const { events, dialect } = deps;
     const { retries, availabilityZone } = settings;
     const clock = this.#clock;
+    this.#profile = new EventLoopProfile(clock);
+    const profile = this.#profile;
     this.#settings = settings;
     this.#events = events;
     const limits = configurationLimitsOf(settings);
@@ -97,14 +113,17 @@
     this.#versions = new VersionHistory(clock);
     const identity = createIdentity(settings);
     this.#admissionClients = new AdmissionClients(
-      { clock, events, identity, settings },
+      { clock, events, identity, profile, settings, metrics: this.#metrics },
       {
         table: () => this.configuration.table,
         expectedTokensPerMs: (service) =>
           this.#scheduler.expectedTokensPerMs(service),
         onChange: () => this.#handleAdmissionChange(),
         crashReports: () => this.#crashGuard.reports(),
-        onReport: (report) => this.#crashGuard.receive(report),
+        onReport: (report) =>
+          profile.measure("crash-reports", () =>
+            this.#crashGuard.receive(report),
+          ),
         serverNotices: () =>
           this.directory.notices.current.map(({ start, notice }) =>
             packNotice(start, notice),
@@ -179,11 +198,13 @@
     this.#sweepTimer = setInterval(() => {
       this.directory.sweep();
       this.#crashGuard.sweep();
+      this.#logReadinessChange();
     }, SWEEP_INTERVAL_MS);
-    this.#teamLogTimer = setInterval(
-      () => this.#logTeams(),
-      TEAM_LOG_INTERVAL_MS,
-    );
+    this.#teamLogTimer = setInterval(() => {
+      this.#logTeams();
+      this.#logEventLoop();
+    }, TEAM_LOG_INTERVAL_MS);
+    this.#profile.start();
     this.#events.info("start", { instance, entry });
   }
 
@@ -231,6 +252,7 @@
     this.#admissionClients.close();
     if (this.#sweepTimer !== null) clearInterval(this.#sweepTimer);
     if (this.#teamLogTimer !== null) clearInterval(this.#teamLogTimer);
+    this.#profile.stop();
   }
 
   #registerMetrics(): void {
@@ -248,6 +270,10 @@
       "oriole_server_connections",
       () => this.#pool.connectAttempts,
     );
+    registry.gauge(
+      "oriole_admission_connections",
+      () => this.#admissionClients.connections,
+    );
     registry.gauge("oriole_routers", () => this.#scheduler.routers);
     registry.gauge(
       "oriole_limited_servers",
@@ -296,7 +322,7 @@
 
   #handleAdmissionChange(): void {
     this.#retryBudget.setRouterCount(this.#scheduler.routers);
-    this.#scheduler.dispatchAll();
+    this.#profile.measure("placing", () => this.#scheduler.dispatchAll());
   }
 
   #handleRequestLimit(notice: RequestLimitNotice): void {
@@ -331,11 +357,45 @@
     return true;
   }
 
-  #isReady(): boolean {
-    if (this.#closing || this.configuration.table === null) return false;
+  /** Logs a second in which the event loop was blocked for long. */
+  #logEventLoop(): void {
+    const { longestTurnMs, processorShare, amounts } = this.#profile.take();
+    if (longestTurnMs < LOGGED_TURN_MS) return;
+    const { decoding, "crash-reports": reports, placing } = amounts;
+    this.#events.warn("event-loop", {
+      longestTurnMs: Math.round(longestTurnMs),
+      processorShare: Number(processorShare.toFixed(3)),
+      ...{ received: decoding.count, placings: placing.count },
+      decodingMs: Math.round(decoding.tookMs),
+      crashReports: reports.count,
+      crashReportsMs: Math.round(reports.tookMs),
+      placingMs: Math.round(placing.tookMs),
+      ...{ openRequests: this.#callerServer.openRequests },
+      ...{ waiting: this.waiting, readiness: this.#currentReadiness },
+    });
+  }
+
+  #logReadinessChange(): void {
+    const readiness = this.#currentReadiness;
+    if (readiness === this.#readiness) return;
+    const before = this.#readiness;
+    this.#readiness = readiness;
+    const standingMs = Math.round(this.#callerServer.standingQueueMs);
+    const { openRequests } = this.#callerServer;
+    const fields = { readiness, before, standingMs, openRequests };
+    this.#events.info("readiness", fields);
+  }
+
+  get #currentReadiness(): Readiness {
+    if (this.#closing) return "stopping";
+    if (this.configuration.table === null) return "no-configuration";
     // Other routers may still reach the store.
-    if (this.configuration.keysAreExpiring) return false;
-    return this.#callerServer.isReady;
+    if (this.configuration.keysAreExpiring) return "keys-too-old";
+    return this.#callerServer.isReady ? "ready" : "overloaded";
+  }
+
+  #isReady(): boolean {
+    return this.#currentReadiness === "ready";
   }
 }
 
--- a/src/transport/connection.ts
+++ b/src/transport/connection.ts
@@ -2,6 +2,7 @@
 
 import type { Socket } from "node:net";
 import type { Clock } from "../common/clock.ts";
+import type { EventLoopProfile } from "../common/event_loop_profile.ts";
 import { withTimeout } from "../common/promises.ts";
 import { AsyncQueue } from "../common/queue.ts";
 import type { Heartbeat, Message } from "../protocol/mod.ts";
@@ -41,6 +42,10 @@
   readonly traffic: Traffic;
   /** Configuration version in force, which heartbeats announce. */
   configurationVersion(): number;
+  /** Measures the decoding of received messages. */
+  readonly profile?: Pick<EventLoopProfile, "measure">;
+  /** Called for each received message. */
+  onReceived?(type: Message["type"]): void;
 }
 
 /** Sends and receives messages, sends heartbeats and detects silent peers. */
@@ -192,7 +197,7 @@
       return;
     }
     for (const payload of payloads.value) {
-      const message = codec.decode(payload);
+      const message = this.#decode(payload);
       if (message.isErr()) {
         this.close(`Received an invalid message: ${message.error[0]?.message}`);
         return;
@@ -201,7 +206,13 @@
     }
   }
 
+  #decode(payload: Buffer): ReturnType<typeof codec.decode> {
+    const decode = () => codec.decode(payload);
+    return this.#owner.profile?.measure("decoding", decode) ?? decode();
+  }
+
   #handleMessage(message: Message): void {
+    this.#owner.onReceived?.(message.type);
     if (message.type === "heartbeat") this.#handleHeartbeat(message);
     this.#received.push(message);
   }
