--- a/tests/direct/fixture.ts
+++ b/tests/direct/fixture.ts
@@ -129,11 +129,14 @@
 }
 
 /** Starts an admission process on loopback; the caller closes it. */
-export async function startAdmission(port: number): Promise<AdmissionProcess> {
+export async function startAdmission(
+  port: number,
+  { host = "127.0.0.1" }: { readonly host?: string } = {},
+): Promise<AdmissionProcess> {
   const admission = new AdmissionProcess(
     {
       ...{ instance: "side-1", availabilityZone: "a", service: "desk" },
-      ...{ engine: "", listen: { host: "127.0.0.1", port } },
+      ...{ engine: "", listen: { host, port } },
       fleetKey: FLEET_KEY,
     },
     { events },
