Direct path: crash evidence reaches each router about once, and costs by its length

Cause: every router sent each crash and each clearing sound response to every admission controller, and each controller passed it on to every router: routers x controllers messages for one crash. A new session sent all evidence each way. Each message indexed all suspects of all crashes again. The event loops stalled, connections waited, routers declared themselves not ready and sessions were lost, which sent everything once more.

Limits and notices take the same relays. What is lost with a session is repaired by comparison: a summary with a relay when a session begins, and once a second with the next controller; only records in which both differ follow, and only to the one that knows less. Suspects are indexed as they are added and cleared, causes are computed again only if a suspect of three crashes changes. Cleared suspects are part of a crash's record, so that they stay cleared everywhere.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -5,6 +5,7 @@
 import { close } from "../tools/load/caller.ts";
 import { POLICIES } from "./baselines/policy.ts";
 import { type ContentionFigures, measureContention } from "./contention.ts";
+import { measureCrashReports } from "./crash_reports.ts";
 import { fullSizeText } from "./full_size.ts";
 import { measureLatency } from "./latency.ts";
 import { measureMemory } from "./memory.ts";
@@ -46,6 +47,13 @@
   .command("memory")
   .description("Resident memory at rest and with 1,000 streams")
   .action(async () => printJson(await measureMemory()));
+program
+  .command("crash-reports")
+  .description("Messages and processor time that crash reports cost a router")
+  .option("--routers <numbers>", "sizes, by commas", "30,100,300")
+  .option("--controllers-per-router <number>", "admission controllers", "1.8")
+  .option("--relays <number>", "controllers that relay each report", "2")
+  .action(measureCrashReportSizes);
 program
   .command("slopes")
   .description("Cost per connection, request, team, grant, update and change")
@@ -95,6 +103,21 @@
   console.log(JSON.stringify(figures, null, 2));
 }
 
+async function measureCrashReportSizes(options: {
+  readonly routers: string;
+  readonly controllersPerRouter: string;
+  readonly relays: string;
+}): Promise<void> {
+  for (const text of options.routers.split(",")) {
+    const routers = Number(text);
+    const controllers = Math.round(
+      routers * Number(options.controllersPerRouter),
+    );
+    const relays = Math.min(controllers, Number(options.relays));
+    printJson(await measureCrashReports({ routers, controllers, relays }));
+  }
+}
+
 async function measureDesigns(
   options: ContentionCommandOptions,
 ): Promise<void> {
--- a/src/admission/admission_process.ts
+++ b/src/admission/admission_process.ts
@@ -15,7 +15,6 @@
   SoundReport,
   TeamUsage,
 } from "../protocol/mod.ts";
-import { CrashEvidence } from "../quarantine/mod.ts";
 import type { PromptPart } from "../scheduling/mod.ts";
 import {
   type Connection,
@@ -25,6 +24,7 @@
   Traffic,
 } from "../transport/mod.ts";
 import { AdmissionController } from "./controller.ts";
+import { CrashRelay } from "./crash_relay.ts";
 import type { EngineState } from "./engine_state.ts";
 import { ReportThrottle } from "./report_throttle.ts";
 import { type RelayedReport, RouterSession } from "./router_session.ts";
@@ -50,7 +50,9 @@
   readonly #controller = new AdmissionController(systemClock, this.#notices);
   /** Beginnings of streams at all servers, for routers to find. */
   readonly #origins = new OriginMemory(systemClock);
-  readonly #crashEvidence = new CrashEvidence(systemClock);
+  readonly #crashRelay = new CrashRelay(systemClock, {
+    send: (report) => this.#sendToAll(report),
+  });
   readonly #sessions = new Set<RouterSession>();
   readonly #listener: Listener;
   readonly #reportedUsageByTeam = new Map<string, number>();
@@ -93,7 +95,7 @@
     this.#scheduleReport();
     this.#teamLogTimer = setInterval(() => {
       this.#logTeams();
-      this.#crashEvidence.sweep();
+      this.#crashRelay.sweep();
     }, TEAM_LOG_INTERVAL_MS);
     this.#events.info("start", { instance, service });
   }
@@ -109,6 +111,7 @@
   async close(): Promise<void> {
     if (this.#reportTimer !== null) clearTimeout(this.#reportTimer);
     this.#stopAdmitting();
+    this.#crashRelay.close();
     if (this.#teamLogTimer !== null) clearInterval(this.#teamLogTimer);
     this.#events.info("stop", { routers: this.#sessions.size });
     await this.#listener.close();
@@ -118,7 +121,8 @@
   async #serve(connection: Connection): Promise<void> {
     const { instance } = connection.peer;
     const session = new RouterSession(connection, this.#controller, {
-      onReport: (report) => this.#relayReport(report, session),
+      onReport: (report) => this.#crashRelay.receive(report),
+      onCrashSync: (message) => this.#crashRelay.compare(message),
       onAsk: () => this.#admitRegularly(),
       onLimitChange: () => this.#logLimit(instance),
       onOrigin: (notice) => this.#noteOrigin(notice),
@@ -127,8 +131,6 @@
       onOtherLimit: (notice) => this.#relayToOthers(notice, session),
     });
     this.#sessions.add(session);
-    for (const report of this.#crashEvidence.reports())
-      session.sendReport(report);
     for (const { start, notice } of this.#notices.current)
       session.sendReport(packNotice(start, notice));
     session.sendReport(this.#createReport([...this.#controller.recentUsage]));
@@ -155,10 +157,6 @@
   }
 
   /** Routers have no connections to each other, so reports are relayed here. */
-  #relayReport(report: CrashReport | SoundReport, from: RouterSession): void {
-    if (this.#crashEvidence.add(report)) this.#relayToOthers(report, from);
-  }
-
   #relayNotice(report: ServerNoticeReport, from: RouterSession): void {
     const { start, notice } = unpackNotice(report);
     if (this.#notices.note(start, notice)) this.#relayToOthers(report, from);
@@ -234,6 +232,10 @@
     const content = JSON.stringify({ ...report, teams: [] });
     if (content === this.#lastReport && teams.length === 0) return;
     this.#lastReport = content;
+    this.#sendToAll(report);
+  }
+
+  #sendToAll(report: ServerReport | CrashReport | SoundReport): void {
     const frame = encode(report);
     for (const session of this.#sessions) session.sendEncoded(report, frame);
   }
--- a/src/admission/router_session.ts
+++ b/src/admission/router_session.ts
@@ -2,6 +2,7 @@
 
 import type {
   CrashReport,
+  CrashSyncMessage,
   Message,
   OriginAnswer,
   OriginNotice,
@@ -15,16 +16,14 @@
 import type { PermitReceiver } from "./admission_queue.ts";
 import type { AdmissionController } from "./controller.ts";
 
-/** What one router tells the others. */
-export type RelayedReport =
-  | CrashReport
-  | SoundReport
-  | RequestLimitNotice
-  | ServerNoticeReport;
+/** What one router tells the others, as it is sent. */
+export type RelayedReport = RequestLimitNotice | ServerNoticeReport;
 
 /** Notices of what a router has sent. */
 export interface RouterSessionListener {
   onReport(report: CrashReport | SoundReport): void;
+  /** Handles a comparison of crash evidence; returns the replies. */
+  onCrashSync(message: CrashSyncMessage): readonly CrashSyncMessage[];
   /** A request has been queued or permitted. */
   onAsk(): void;
   /** The engine's limit on requests has changed. */
@@ -72,7 +71,10 @@
   }
 
   /** Sends a report that was encoded once for all routers. */
-  sendEncoded(report: ServerReport, frame: Buffer): void {
+  sendEncoded(
+    report: ServerReport | CrashReport | SoundReport,
+    frame: Buffer,
+  ): void {
     this.#connection.sendEncoded(report, frame);
   }
 
@@ -116,6 +118,14 @@
       case "sound-report":
         this.#listener.onReport(message);
         return;
+      case "crash-summary":
+      case "crash-digests":
+      case "crash-offer":
+      case "crash-query":
+      case "crash-record":
+        for (const reply of this.#listener.onCrashSync(message))
+          this.#connection.send(reply);
+        return;
       case "heartbeat":
         return;
       default:
--- a/src/direct/admission_client.ts
+++ b/src/direct/admission_client.ts
@@ -6,6 +6,7 @@
 import { RecentUsage } from "../fairness/mod.ts";
 import type {
   CrashReport,
+  CrashSyncMessage,
   EngineConfiguration,
   Message,
   OriginAnswer,
@@ -47,8 +48,10 @@
   readonly owner: ConnectionOwner;
   /** Engine configuration to send; null while it isn't known. */
   readonly engineConfiguration: () => EngineConfiguration | null;
-  /** Crashes to send to a new admission controller. */
-  readonly crashReports: () => readonly CrashReport[];
+  /** Handles a comparison of crash evidence; returns the replies. */
+  readonly onCrashSync: (
+    message: CrashSyncMessage,
+  ) => readonly CrashSyncMessage[];
   /** Called when another router reports a crash or a sound response. */
   readonly onReport: (report: CrashReport | SoundReport) => void;
   /** What servers have said of themselves, for a new admission controller. */
@@ -69,6 +72,7 @@
 export type SharedMessage =
   | CrashReport
   | SoundReport
+  | CrashSyncMessage
   | RequestLimitNotice
   | ServerNoticeReport
   | OriginNotice
@@ -206,7 +210,6 @@
     }
     // An admission controller that has restarted knows no limit.
     if (this.#limitNotice !== null) connection.send(this.#limitNotice);
-    for (const report of this.#deps.crashReports()) connection.send(report);
     for (const report of this.#deps.serverNotices()) connection.send(report);
     // "Gate" in log events means the admission controller.
     this.#deps.events.info("gate-connected", { gate });
@@ -238,6 +241,14 @@
       case "sound-report":
         this.#deps.onReport(message);
         return;
+      case "crash-summary":
+      case "crash-digests":
+      case "crash-offer":
+      case "crash-query":
+      case "crash-record":
+        for (const reply of this.#deps.onCrashSync(message))
+          connection.send(reply);
+        return;
       case "server-notice":
         this.#deps.onServerNotice(message);
         return;
--- a/src/direct/admission_clients.ts
+++ b/src/direct/admission_clients.ts
@@ -7,6 +7,7 @@
 import type { MetricsRegistry } from "../metrics/mod.ts";
 import type {
   CrashReport,
+  CrashSyncMessage,
   EngineConfiguration,
   OriginAnswer,
   RequestLimitNotice,
@@ -14,7 +15,11 @@
   SoundReport,
 } from "../protocol/mod.ts";
 import type { RouteTable } from "../routing/mod.ts";
-import type { EngineAdmission, LimitObservation } from "../scheduling/mod.ts";
+import {
+  type EngineAdmission,
+  type LimitObservation,
+  topRanked,
+} from "../scheduling/mod.ts";
 import {
   type ConnectionOwner,
   type Identity,
@@ -41,8 +46,10 @@
   expectedTokensPerMs(service: string): number;
   /** Called on a new report and on a lost connection. */
   onChange(): void;
-  /** Crashes to send to a new admission controller. */
-  crashReports(): readonly CrashReport[];
+  /** Message that begins a comparison of crash evidence. */
+  crashSummary(): CrashSyncMessage;
+  /** Handles a message of such a comparison; returns the replies to it. */
+  onCrashSync(message: CrashSyncMessage): readonly CrashSyncMessage[];
   /** Called when another router reports a crash or a sound response. */
   onReport(report: CrashReport | SoundReport): void;
   /** What servers have said of themselves, for a new admission controller. */
@@ -57,6 +64,13 @@
   onConnection(host: string): void;
 }
 
+/** An admission controller with an open connection. */
+interface Controller {
+  /** Its host. */
+  readonly id: string;
+  readonly client: AdmissionClient;
+}
+
 /** Client and servers of one host; an admission controller serves its host. */
 interface HostEntry {
   readonly client: AdmissionClient;
@@ -68,10 +82,19 @@
 }
 
 /**
- * Admission controllers that relay what a server has stated to the other
- * routers: a second one, because the first may be cut off from some of them.
+ * Admission controllers that relay what a router reports to the other routers: a
+ * second one, because the first may be cut off from some of them. All routers
+ * choose the same ones, so that these merge what many routers report.
  */
 const RELAYS = 2;
+/** Key by which the relays are ranked. */
+const RELAY_KEY = "relay";
+/**
+ * Interval at which the crash evidence is compared with that of an admission
+ * controller: reports may be lost with sessions. A few comparisons take less
+ * than the 3 s after which callers' rules expect the fleet to know of a crash.
+ */
+const COMPARISON_INTERVAL_MS = 1_000;
 
 /** One client for each host that runs an engine. */
 export class AdmissionClients {
@@ -80,6 +103,11 @@
   readonly #traffic = new Traffic();
   /** Keyed by host: a server that restarts keeps its admission controller. */
   readonly #entries = new Map<string, HostEntry>();
+  /** Hosts of the relays at the last change of connections. */
+  #relayHosts: ReadonlySet<string> = new Set();
+  readonly #comparisonTimer: NodeJS.Timeout;
+  /** Turns of the comparison; begins anywhere, unlike that of other routers. */
+  #comparisons = Math.floor(Math.random() * 2 ** 16);
 
   constructor(
     deps: AdmissionClientsDependencies,
@@ -87,6 +115,10 @@
   ) {
     this.#deps = deps;
     this.#callbacks = callbacks;
+    this.#comparisonTimer = setInterval(
+      () => this.#compareWithNextController(),
+      COMPARISON_INTERVAL_MS,
+    );
   }
 
   /**
@@ -124,15 +156,14 @@
       client.sendEngineConfiguration();
   }
 
-  /** Reports to all routers, through every controller. */
+  /** Reports to all routers, through the relays. */
   sendReport(report: CrashReport | SoundReport): void {
-    for (const { client } of this.#entries.values()) client.send(report);
+    for (const { client } of this.#relays()) client.send(report);
   }
 
   /** Controllers that are connected, as holders of the origins of streams. */
   get originHolders(): OriginHolder[] {
-    const open = [...this.#entries].filter(([, { client }]) => client.isOpen);
-    return open.map(([id, { client }]) => ({
+    return this.#open.map(({ id, client }) => ({
       id,
       send: (message) => client.send(message),
     }));
@@ -144,7 +175,7 @@
     observation: LimitObservation,
   ): void {
     const notice = limitNotice(server, observation, this.#deps);
-    for (const client of this.#connected.slice(0, RELAYS)) client.send(notice);
+    for (const { client } of this.#relays()) client.send(notice);
   }
 
   /**
@@ -152,25 +183,49 @@
    * controller, if it has one, issues no more permits for it.
    */
   shareServerNotice(host: string, report: ServerNoticeReport): void {
-    const own = this.#entries.get(host)?.client ?? null;
-    const relays = this.#connected.filter((client) => client !== own);
-    own?.send(report);
-    for (const client of relays.slice(0, RELAYS)) client.send(report);
+    this.#entries.get(host)?.client.send(report);
+    for (const { client } of this.#relays({ except: host }))
+      client.send(report);
   }
 
   /** Number of controllers that are connected and have reported. */
   get connections(): number {
-    return this.#connected.length;
+    return [...this.#entries.values()].filter(({ client }) => client.connected)
+      .length;
+  }
+
+  get #open(): Controller[] {
+    return [...this.#entries]
+      .map(([id, { client }]) => ({ id, client }))
+      .filter(({ client }) => client.isOpen);
+  }
+
+  #relays({ except }: { readonly except?: string } = {}): Controller[] {
+    const usable = this.#open.filter(({ id }) => id !== except);
+    return topRanked(RELAY_KEY, usable, RELAYS);
+  }
+
+  /** Compares crash evidence with controllers that have become relays. */
+  #handleConnection(host: string): void {
+    const relays = this.#relays();
+    const before = this.#relayHosts;
+    this.#relayHosts = new Set(relays.map(({ id }) => id));
+    for (const { id, client } of relays)
+      if (!before.has(id)) client.send(this.#callbacks.crashSummary());
+    this.#callbacks.onConnection(host);
   }
 
-  get #connected(): AdmissionClient[] {
-    return [...this.#entries.values()]
-      .map(({ client }) => client)
-      .filter((client) => client.connected);
+  /** With each in turn, so that what only some of them know reaches all. */
+  #compareWithNextController(): void {
+    const open = this.#open;
+    this.#comparisons += 1;
+    const next = open[this.#comparisons % open.length];
+    next?.client.send(this.#callbacks.crashSummary());
   }
 
   /** Closes all connections. */
   close(): void {
+    clearInterval(this.#comparisonTimer);
     for (const { client } of this.#entries.values()) client.close();
   }
 
@@ -183,13 +238,13 @@
       owner: this.#createOwner(),
       engineConfiguration: () => this.#engineConfiguration(host),
       onChange: () => this.#callbacks.onChange(),
-      crashReports: () => this.#callbacks.crashReports(),
+      onCrashSync: (message) => this.#callbacks.onCrashSync(message),
       onReport: (report) => this.#callbacks.onReport(report),
       serverNotices: () => this.#callbacks.serverNotices(),
       onServerNotice: (report) => this.#callbacks.onServerNotice(report),
       onRequestLimit: (notice) => this.#callbacks.onRequestLimit(notice),
       onOrigin: (answer) => this.#callbacks.onOrigin(answer),
-      onConnection: () => this.#callbacks.onConnection(host),
+      onConnection: () => this.#handleConnection(host),
     });
   }
 
--- a/src/direct/crash_guard.ts
+++ b/src/direct/crash_guard.ts
@@ -3,11 +3,16 @@
 import type { Clock } from "../common/clock.ts";
 import type { EventLog } from "../common/event_log.ts";
 import type { BackendServer, DirectoryChange } from "../directory/mod.ts";
-import type { CrashReport, SoundReport } from "../protocol/mod.ts";
+import type {
+  CrashReport,
+  CrashSyncMessage,
+  SoundReport,
+} from "../protocol/mod.ts";
 import {
   CrashBreaker,
   type CrashCause,
   CrashEvidence,
+  CrashSync,
 } from "../quarantine/mod.ts";
 import type { ConnectionFailure } from "./backend_connection.ts";
 import type { ConnectionPool } from "./connection_pool.ts";
@@ -42,8 +47,11 @@
   readonly #detector: CrashDetector;
   readonly #evidence: CrashEvidence;
   readonly #breaker: CrashBreaker;
+  readonly #sync: CrashSync;
   readonly #probe: CrashProbe;
   readonly #loggedCauses = new Set<string>();
+  /** Causes at the last call of `#logCauses`. */
+  #causes: readonly CrashCause[] = [];
 
   constructor(deps: CrashGuardDependencies) {
     const { clock, pool } = deps;
@@ -51,6 +59,9 @@
     this.#detector = new CrashDetector(clock);
     this.#evidence = new CrashEvidence(clock);
     this.#breaker = new CrashBreaker(clock, this.#evidence);
+    this.#sync = new CrashSync(clock, this.#evidence, (record) =>
+      this.receive(record),
+    );
     this.#probe = new CrashProbe({
       pool,
       onUnreachable: (server, failure) =>
@@ -60,7 +71,7 @@
 
   /** Number of requests and prompt parts that ran in a crash. */
   get suspects(): number {
-    return this.#evidence.suspects.size;
+    return this.#evidence.suspectCount;
   }
 
   /** Number of known causes of crashes. */
@@ -68,9 +79,14 @@
     return this.#breaker.causes.length;
   }
 
-  /** Crashes to send to a new admission controller. */
-  reports(): CrashReport[] {
-    return this.#evidence.reports();
+  /** Message that begins a comparison with an admission controller. */
+  get summary(): CrashSyncMessage {
+    return this.#sync.summary;
+  }
+
+  /** Handles a message of a comparison; returns the replies to it. */
+  compare(message: CrashSyncMessage): CrashSyncMessage[] {
+    return this.#sync.handle(message);
   }
 
   /** Returns the cause for which a request is refused; null if there is none. */
@@ -117,9 +133,11 @@
       .sort((a, b) => Number(b.parts.length > 0) - Number(a.parts.length > 0))
       .map(({ fingerprint, parts }) => [fingerprint, parts] as const);
     const { crash, ageMs } = found;
-    if (!this.#evidence.addCrash({ crash, ageMs, requests })) return;
-    const report = this.#evidence.reportOf(crash);
-    if (report !== null) this.#deps.send(report);
+    const type = "crash-report";
+    const report: CrashReport = { type, crash, ageMs, requests, cleared: [] };
+    const news = this.#evidence.add(report);
+    if (news === null) return;
+    this.#deps.send(news);
     this.#logCauses();
   }
 
@@ -133,8 +151,8 @@
 
   /** Records what another router has reported. */
   receive(report: CrashReport | SoundReport): void {
-    const isNew = this.#evidence.add(report);
-    if (isNew && report.type === "crash-report") {
+    if (this.#evidence.add(report) === null) return;
+    if (report.type === "crash-report") {
       const sound = this.#evidence.soundAmong(report);
       if (sound !== null) this.#deps.send(sound);
     }
@@ -156,6 +174,8 @@
 
   #logCauses(): void {
     const { causes } = this.#breaker;
+    if (causes === this.#causes) return;
+    this.#causes = causes;
     const keys = new Set(causes.map(nameOf));
     for (const key of this.#loggedCauses) {
       if (keys.has(key)) continue;
--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -119,7 +119,11 @@
         expectedTokensPerMs: (service) =>
           this.#scheduler.expectedTokensPerMs(service),
         onChange: () => this.#handleAdmissionChange(),
-        crashReports: () => this.#crashGuard.reports(),
+        crashSummary: () => this.#crashGuard.summary,
+        onCrashSync: (message) =>
+          profile.measure("crash-reports", () =>
+            this.#crashGuard.compare(message),
+          ),
         onReport: (report) =>
           profile.measure("crash-reports", () =>
             this.#crashGuard.receive(report),
--- a/src/protocol/field_numbers.ts
+++ b/src/protocol/field_numbers.ts
@@ -29,6 +29,7 @@
   ...["cacheTokens", "server", "startedAtMs", "copiedTokens", "failureShare"],
   ...["ageMs", "requests", "suspects", "requestsPerS", "freeSlots"],
   ...["request", "softwareVersion", "cacheLifetimeMs", "notice"],
+  ...["cleared", "digest", "digests", "crashes"],
 ] as const;
 
 /** Number of each field name. */
--- a/src/protocol/message.ts
+++ b/src/protocol/message.ts
@@ -46,6 +46,7 @@
 } from "./origin_messages.ts";
 import type {
   CrashReport,
+  CrashSyncMessage,
   SoundReport,
   Strike,
   StrikeClearance,
@@ -108,6 +109,7 @@
   | StrikeClearance
   | CrashReport
   | SoundReport
+  | CrashSyncMessage
   | EngineConfiguration
   | PermitRequest
   | RunningRequest
--- a/src/protocol/quarantine_messages.ts
+++ b/src/protocol/quarantine_messages.ts
@@ -29,6 +29,8 @@
   /** Time since the crash. */
   readonly ageMs: number;
   readonly requests: readonly SuspectRequest[];
+  /** Suspects of the crash that a sound response has cleared. */
+  readonly cleared: readonly string[];
 }
 
 /** Reports that suspects of crashes have had a sound response. */
@@ -38,3 +40,50 @@
   /** Time since the responses. */
   readonly ageMs: number;
 }
+
+/** What a process holds of one crash: digest, and numbers of suspects. */
+export type CrashDigest = readonly [
+  crash: string,
+  digest: number,
+  /** Suspects that sound responses have cleared. */
+  cleared: number,
+  /** Other suspects. */
+  open: number,
+];
+
+/** Digest of all crash evidence of the sender, which begins a comparison. */
+export interface CrashSummary {
+  readonly type: "crash-summary";
+  readonly digest: number;
+}
+
+/** Digests of all crashes, in reply to a summary that differs. */
+export interface CrashDigests {
+  readonly type: "crash-digests";
+  readonly digests: readonly CrashDigest[];
+}
+
+/** Digests of the crashes of which the receiver may hold less. */
+export interface CrashOffer {
+  readonly type: "crash-offer";
+  readonly digests: readonly CrashDigest[];
+}
+
+/** Asks for the records of crashes. */
+export interface CrashQuery {
+  readonly type: "crash-query";
+  readonly crashes: readonly string[];
+}
+
+/** What the sender holds of a crash, in reply to a query; isn't passed on. */
+export interface CrashRecordReply extends Omit<CrashReport, "type"> {
+  readonly type: "crash-record";
+}
+
+/** Messages that compare the crash evidence of two processes. */
+export type CrashSyncMessage =
+  | CrashSummary
+  | CrashDigests
+  | CrashOffer
+  | CrashQuery
+  | CrashRecordReply;
--- a/src/protocol/schema.ts
+++ b/src/protocol/schema.ts
@@ -42,6 +42,16 @@
 /** Bounded by what a process stores of one crash. */
 const suspectList = { type: "array", maxItems: 256 };
 const suspectTexts = { ...suspectList, items: text };
+const crashReport = {
+  crash: text,
+  ageMs: amount,
+  requests: { ...suspectList, items: tuple(text, suspectTexts) },
+  cleared: suspectTexts,
+};
+/** Bounded by the crashes that a process stores. */
+const crashList = { type: "array", maxItems: 256 };
+const crashDigest = tuple(text, count, count, count);
+const crashDigests = { digests: { ...crashList, items: crashDigest } };
 const teams = { type: "array", items: tuple(text, amount) };
 const prompt = { team: text, parts, outputTokens: amount };
 
@@ -128,11 +138,12 @@
   },
   strike: { crash: text, fingerprints: { type: "array", items: text } },
   clear: { fingerprint: text },
-  "crash-report": {
-    crash: text,
-    ageMs: amount,
-    requests: { ...suspectList, items: tuple(text, suspectTexts) },
-  },
+  "crash-report": crashReport,
+  "crash-summary": { digest: count },
+  "crash-digests": crashDigests,
+  "crash-offer": crashDigests,
+  "crash-query": { crashes: { ...crashList, items: text } },
+  "crash-record": crashReport,
   "sound-report": { suspects: suspectTexts, ageMs: amount },
   "engine-terms": {
     version: count,
--- a/src/quarantine/crash_attribution.ts
+++ b/src/quarantine/crash_attribution.ts
@@ -7,7 +7,7 @@
  * those that one request had.
  */
 
-import type { StoredCrash } from "./crash_evidence.ts";
+import type { StoredCrash } from "./crash_record.ts";
 
 /** Unexplained crashes from which on a suspect is taken for their cause. */
 export const CAUSE_CRASHES = 3;
@@ -21,39 +21,51 @@
 }
 
 type CrashSet = ReadonlySet<StoredCrash>;
+type CrashesBySuspect = ReadonlyMap<string, CrashSet>;
 
-/** Returns the causes, that of most crashes first. */
-export function attribute(crashes: Iterable<StoredCrash>): CrashCause[] {
-  const unexplained = new Set(crashes);
+/**
+ * Returns the causes, that of most crashes first; the same in all processes
+ * that know the same crashes.
+ *
+ * @param candidates crashes by suspect; those with fewer than `CAUSE_CRASHES`
+ *   may be left out
+ */
+export function attribute(candidates: CrashesBySuspect): CrashCause[] {
   const causes: CrashCause[] = [];
+  let unexplained = candidates;
   for (;;) {
-    const crashesBySuspect = indexBySuspect(unexplained);
-    const explained = largestOf(crashesBySuspect.values());
+    const explained = largestOf(unexplained);
     if (explained === null || explained.size < CAUSE_CRASHES) return causes;
     const tied = new Set<string>();
-    for (const [suspect, itsCrashes] of crashesBySuspect)
+    for (const [suspect, itsCrashes] of unexplained)
       if (isSameSet(itsCrashes, explained)) tied.add(suspect);
     for (const suspects of alternatives(explained, tied))
       causes.push({ suspects, crashes: [...explained] });
-    for (const crash of explained) unexplained.delete(crash);
+    unexplained = without(unexplained, explained);
   }
 }
 
-function indexBySuspect(crashes: CrashSet): Map<string, Set<StoredCrash>> {
-  const crashesBySuspect = new Map<string, Set<StoredCrash>>();
-  for (const crash of crashes) {
-    for (const suspect of [...crash.groups.values()].flat()) {
-      const itsCrashes = crashesBySuspect.get(suspect) ?? new Set();
-      crashesBySuspect.set(suspect, itsCrashes.add(crash));
-    }
+function without(
+  crashesBySuspect: CrashesBySuspect,
+  explained: CrashSet,
+): CrashesBySuspect {
+  const left = new Map<string, CrashSet>();
+  for (const [suspect, itsCrashes] of crashesBySuspect) {
+    const others = [...itsCrashes].filter((one) => !explained.has(one));
+    if (others.length >= CAUSE_CRASHES) left.set(suspect, new Set(others));
   }
-  return crashesBySuspect;
+  return left;
 }
 
-function largestOf(sets: Iterable<CrashSet>): CrashSet | null {
-  let largest: CrashSet | null = null;
-  for (const set of sets) if (set.size > (largest?.size ?? 0)) largest = set;
-  return largest;
+/** Of equally many crashes, those of the first suspect in code unit order. */
+function largestOf(crashesBySuspect: CrashesBySuspect): CrashSet | null {
+  let largest: readonly [string, CrashSet] | null = null;
+  for (const [suspect, itsCrashes] of crashesBySuspect) {
+    const added = itsCrashes.size - (largest?.[1].size ?? 0);
+    if (largest === null || added > 0 || (added === 0 && suspect < largest[0]))
+      largest = [suspect, itsCrashes];
+  }
+  return largest?.[1] ?? null;
 }
 
 function isSameSet(a: CrashSet, b: CrashSet): boolean {
--- a/src/quarantine/crash_breaker.ts
+++ b/src/quarantine/crash_breaker.ts
@@ -11,7 +11,8 @@
   CAUSE_CRASHES,
   type CrashCause,
 } from "./crash_attribution.ts";
-import type { CrashEvidence, StoredCrash } from "./crash_evidence.ts";
+import type { CrashEvidence } from "./crash_evidence.ts";
+import type { StoredCrash } from "./crash_record.ts";
 
 /** Refusal after the crashes that showed the cause; servers may be fixed then. */
 const MIN_REFUSAL_MS = 60_000;
@@ -49,9 +50,10 @@
 
   /** Causes that the evidence shows now. */
   get causes(): readonly CrashCause[] {
-    if (this.#version === this.#evidence.version) return this.#causes;
-    this.#version = this.#evidence.version;
-    this.#causes = attribute(this.#evidence.crashes);
+    const version = this.#evidence.candidatesVersion;
+    if (this.#version === version) return this.#causes;
+    this.#version = version;
+    this.#causes = attribute(this.#evidence.candidates);
     const keys = new Set(this.#causes.map(keyOf));
     for (const key of this.#trials.keys())
       if (!keys.has(key)) this.#trials.delete(key);
--- a/src/quarantine/crash_evidence.ts
+++ b/src/quarantine/crash_evidence.ts
@@ -5,125 +5,165 @@
  * A request (by its fingerprint) or a prompt part that ran in a crash is a
  * suspect. A sound response clears a suspect of all crashes so far and of those
  * in the following seconds. Reports are idempotent and may come in any order.
+ * The cost of a report depends on its length, not on what is stored.
  */
 
 import type { Clock } from "../common/clock.ts";
+import { fnv1a, mix } from "../common/text_hash.ts";
 import type {
+  CrashDigest,
   CrashReport,
   SoundReport,
   SuspectRequest,
 } from "../protocol/mod.ts";
+import { CAUSE_CRASHES } from "./crash_attribution.ts";
+import {
+  type CrashNews,
+  CrashRecord,
+  partSuspect,
+  type StoredCrash,
+  type SuspectGroup,
+  suspectsOf,
+} from "./crash_record.ts";
 import { SoundSuspects } from "./sound_suspects.ts";
 
 /** Age at which a crash is dropped: three times the longest refusal. */
 const CRASH_MAX_AGE_MS = 30 * 60_000;
 /** Stored crashes, the oldest dropped first: half an hour at one per 7 s. */
 const CRASHES_LIMIT = 256;
-/** Suspects of one crash: all slots of a large engine, three parts each. */
-const SUSPECTS_PER_CRASH_LIMIT = 256;
-
-/** Suspects of one request that ran in a crash. */
-export type SuspectGroup = readonly string[];
-
-/** A crash and the suspects that no sound response has cleared. */
-export interface StoredCrash {
-  readonly id: string;
-  /** Monotonic time. */
-  readonly atMs: number;
-  /** By fingerprint of the request. */
-  readonly groups: Map<string, SuspectGroup>;
-}
-
-/** Returns the suspect that a whole request is. */
-export function requestSuspect(fingerprint: string): string {
-  return `request ${fingerprint}`;
-}
-
-/** Returns the suspect that a prompt part is. */
-export function partSuspect(part: string): string {
-  return `part ${part}`;
-}
-
-/** Returns the suspects that a request and its prompt parts are. */
-export function suspectsOf([fingerprint, parts]: SuspectRequest): string[] {
-  return [requestSuspect(fingerprint), ...parts.map(partSuspect)];
-}
 
 /** Bounded store of crashes; the same in routers and admission processes. */
 export class CrashEvidence {
   readonly #clock: Clock;
-  readonly #crashes = new Map<string, StoredCrash>();
+  readonly #records = new Map<string, CrashRecord>();
+  readonly #recordsBySuspect = new Map<string, Set<CrashRecord>>();
+  /** Those suspects that ran in enough crashes to be their cause. */
+  readonly #candidates = new Map<string, ReadonlySet<StoredCrash>>();
   readonly #sound: SoundSuspects;
-  #version = 0;
-  #suspects: ReadonlySet<string> = new Set();
-  #suspectsVersion = 0;
+  #candidatesVersion = 0;
 
   constructor(clock: Clock) {
     this.#clock = clock;
     this.#sound = new SoundSuspects(clock);
   }
 
-  /** Changes whenever the crashes or their suspects do. */
-  get version(): number {
-    return this.#version;
+  /** Changes whenever the candidates or the crashes in which they ran do. */
+  get candidatesVersion(): number {
+    return this.#candidatesVersion;
   }
 
-  /** Crashes from the oldest to the newest report. */
-  get crashes(): Iterable<StoredCrash> {
-    return this.#crashes.values();
+  /** Crashes by suspect, for those that may be the cause of some. */
+  get candidates(): ReadonlyMap<string, ReadonlySet<StoredCrash>> {
+    return this.#candidates;
   }
 
   /** All suspects. */
   get suspects(): ReadonlySet<string> {
-    if (this.#suspectsVersion === this.#version) return this.#suspects;
-    this.#suspectsVersion = this.#version;
-    this.#suspects = new Set(
-      [...this.#crashes.values()].flatMap(({ groups }) =>
-        [...groups.values()].flat(),
-      ),
-    );
-    return this.#suspects;
+    return new Set(this.#recordsBySuspect.keys());
   }
 
-  /** Adds what another process reports; returns whether it says anything new. */
-  add(report: CrashReport | SoundReport): boolean {
+  /** Number of suspects. */
+  get suspectCount(): number {
+    return this.#recordsBySuspect.size;
+  }
+
+  /** The same number in processes that hold the same evidence. */
+  get summary(): number {
+    let sum = 0;
+    for (const [crash, digest] of this.digests)
+      sum = (sum + mix(fnv1a(crash, digest))) >>> 0;
+    return sum;
+  }
+
+  /** Digests of the crashes that have suspects. */
+  get digests(): CrashDigest[] {
+    return [...this.#records.values()]
+      .filter(({ isOpen }) => isOpen)
+      .map(({ digest }) => digest);
+  }
+
+  /** Whether another process may know more of a crash. */
+  isBehind(digest: CrashDigest): boolean {
+    const [crash] = digest;
+    const record = this.#records.get(crash);
+    return record?.isBehind(digest) ?? this.#records.size < CRASHES_LIMIT;
+  }
+
+  /** Adds what another process reports; returns the part that is new. */
+  add(report: CrashReport | SoundReport): CrashReport | SoundReport | null {
     switch (report.type) {
-      case "crash-report":
-        return this.addCrash(report);
-      case "sound-report":
-        return this.addSound(report.suspects, report).length > 0;
+      case "crash-report": {
+        const { requests, cleared } = this.#addReport(report);
+        if (requests.length + cleared.length === 0) return null;
+        return { ...report, requests, cleared };
+      }
+      case "sound-report": {
+        const suspects = this.addSound(report.suspects, report);
+        return suspects.length > 0 ? { ...report, suspects } : null;
+      }
       default:
         return report satisfies never;
     }
   }
 
   /** Adds a crash; returns whether it says anything new. */
-  addCrash({ crash, ageMs, requests }: Omit<CrashReport, "type">): boolean {
-    const known = this.#crashes.get(crash);
-    const atMs = known?.atMs ?? this.#clock.monotonicMs() - ageMs;
-    const stored = known ?? { id: crash, atMs, groups: new Map() };
-    let isNew = known === undefined;
-    for (const request of requests) {
-      if (this.#addRequest(stored, request)) isNew = true;
+  addCrash(crash: Pick<CrashReport, "crash" | "ageMs" | "requests">): boolean {
+    const isKnown = this.#records.has(crash.crash);
+    const { requests, cleared } = this.#addReport({ ...crash, cleared: [] });
+    return !isKnown || requests.length + cleared.length > 0;
+  }
+
+  #addReport(report: Omit<CrashReport, "type">): CrashNews {
+    const news: CrashNews = { requests: [], cleared: [] };
+    if (report.ageMs > CRASH_MAX_AGE_MS) return news;
+    const record = this.#recordOf(report);
+    for (const suspect of report.cleared) this.#clear(record, suspect, news);
+    for (const request of report.requests) {
+      const [fingerprint] = request;
+      const suspects = suspectsOf(request);
+      for (const suspect of suspects)
+        if (this.#sound.covers(suspect, record.atMs))
+          this.#clear(record, suspect, news);
+      const added = record.addSuspects(fingerprint, suspects);
+      for (const suspect of added) this.#index(record, suspect);
+      if (added.length > 0) news.requests.push(packed(fingerprint, added));
     }
-    this.#crashes.set(crash, stored);
-    if (isNew) this.#version += 1;
-    const oldest = this.#crashes.keys().next();
-    if (this.#crashes.size > CRASHES_LIMIT && oldest.done !== true)
-      this.#crashes.delete(oldest.value);
-    return isNew;
-  }
-
-  #addRequest({ atMs, groups }: StoredCrash, request: SuspectRequest): boolean {
-    const [fingerprint] = request;
-    const known = groups.get(fingerprint) ?? [];
-    const added = suspectsOf(request).filter(
-      (one) => !known.includes(one) && !this.#sound.covers(one, atMs),
-    );
-    const room = SUSPECTS_PER_CRASH_LIMIT - [...groups.values()].flat().length;
-    if (added.length === 0 || room <= 0) return false;
-    groups.set(fingerprint, [...known, ...added.slice(0, room)]);
-    return true;
+    return news;
+  }
+
+  #recordOf({ crash, ageMs }: Omit<CrashReport, "type">): CrashRecord {
+    const known = this.#records.get(crash);
+    if (known !== undefined) return known;
+    const record = new CrashRecord(crash, this.#clock.monotonicMs() - ageMs);
+    this.#records.set(crash, record);
+    const [oldest] = this.#records.values();
+    if (this.#records.size > CRASHES_LIMIT && oldest !== undefined)
+      this.#drop(oldest);
+    return record;
+  }
+
+  #clear(record: CrashRecord, suspect: string, news: CrashNews): void {
+    const isIndexed = record.hasSuspect(suspect);
+    if (!record.clear(suspect)) return;
+    news.cleared.push(suspect);
+    if (isIndexed) this.#removeFromIndex(record, suspect);
+  }
+
+  #index(record: CrashRecord, suspect: string): void {
+    const records = this.#recordsBySuspect.get(suspect) ?? new Set();
+    this.#recordsBySuspect.set(suspect, records.add(record));
+    if (records.size < CAUSE_CRASHES) return;
+    this.#candidates.set(suspect, records);
+    this.#candidatesVersion += 1;
+  }
+
+  #removeFromIndex(record: CrashRecord, suspect: string): void {
+    const records = this.#recordsBySuspect.get(suspect);
+    records?.delete(record);
+    if (records?.size === 0) this.#recordsBySuspect.delete(suspect);
+    if (!this.#candidates.has(suspect)) return;
+    this.#candidatesVersion += 1;
+    if ((records?.size ?? 0) < CAUSE_CRASHES) this.#candidates.delete(suspect);
   }
 
   /**
@@ -137,34 +177,22 @@
   ): string[] {
     const atMs = this.#clock.monotonicMs() - ageMs;
     const cleared = new Set<string>();
-    for (const suspect of suspects) this.#sound.add(suspect, atMs);
-    if (!suspects.some((one) => this.suspects.has(one))) return [];
-    for (const crash of this.#crashes.values())
-      for (const suspect of this.#clear(crash, suspects)) cleared.add(suspect);
-    if (cleared.size > 0) this.#version += 1;
-    return [...cleared];
-  }
-
-  #clear({ atMs, groups }: StoredCrash, suspects: readonly string[]): string[] {
-    const cleared: string[] = [];
-    for (const [fingerprint, group] of groups) {
-      const covered = group.filter(
-        (one) => suspects.includes(one) && this.#sound.covers(one, atMs),
-      );
-      if (covered.length === 0) continue;
-      cleared.push(...covered);
-      const left = group.filter((one) => !covered.includes(one));
-      if (left.length > 0) groups.set(fingerprint, left);
-      else groups.delete(fingerprint);
+    for (const suspect of suspects) {
+      this.#sound.add(suspect, atMs);
+      for (const record of [...(this.#recordsBySuspect.get(suspect) ?? [])]) {
+        if (!this.#sound.covers(suspect, record.atMs)) continue;
+        if (record.clear(suspect)) this.#removeFromIndex(record, suspect);
+        cleared.add(suspect);
+      }
     }
-    return cleared;
+    return [...cleared];
   }
 
   /** Returns those suspects of a report that are known to be sound. */
   soundAmong({
     ageMs,
     requests,
-  }: Omit<CrashReport, "type">): SoundReport | null {
+  }: Pick<CrashReport, "ageMs" | "requests">): SoundReport | null {
     const crashAtMs = this.#clock.monotonicMs() - ageMs;
     const sound = [...new Set(requests.flatMap(suspectsOf))].filter((one) =>
       this.#sound.covers(one, crashAtMs),
@@ -175,36 +203,39 @@
     return { type: "sound-report", suspects: sound, ageMs: soundAgeMs };
   }
 
-  /** Returns a report of each crash, to send them to a new peer. */
+  /** Returns a report of each crash that has a suspect. */
   reports(): CrashReport[] {
-    return [...this.#crashes.values()]
-      .filter(({ groups }) => groups.size > 0)
-      .map((crash) => this.#reportOf(crash));
+    return [...this.#records.values()]
+      .filter(({ isOpen }) => isOpen)
+      .map((record) => this.#reportOf(record));
   }
 
-  /** Returns the report of a crash as it is stored; null if it has no suspect. */
+  /** Returns the report of a crash as it is stored; null if it isn't. */
   reportOf(id: string): CrashReport | null {
-    const crash = this.#crashes.get(id);
-    if (crash === undefined || crash.groups.size === 0) return null;
-    return this.#reportOf(crash);
+    const record = this.#records.get(id);
+    return record === undefined ? null : this.#reportOf(record);
   }
 
-  #reportOf({ id, atMs, groups }: StoredCrash): CrashReport {
+  #reportOf({ id, atMs, groups, cleared }: CrashRecord): CrashReport {
     const ageMs = Math.max(0, this.#clock.monotonicMs() - atMs);
     const requests = [...groups].map(([fingerprint, group]) =>
       packed(fingerprint, group),
     );
-    return { type: "crash-report", crash: id, ageMs, requests };
+    const type = "crash-report";
+    return { type, crash: id, ageMs, requests, cleared: [...cleared] };
   }
 
   /** Drops old crashes; must be called periodically. */
   sweep(): void {
     const beforeMs = this.#clock.monotonicMs() - CRASH_MAX_AGE_MS;
-    for (const [id, { atMs }] of this.#crashes) {
-      if (atMs >= beforeMs) continue;
-      this.#crashes.delete(id);
-      this.#version += 1;
-    }
+    for (const record of this.#records.values())
+      if (record.atMs < beforeMs) this.#drop(record);
+  }
+
+  #drop(record: CrashRecord): void {
+    this.#records.delete(record.id);
+    for (const suspect of record.suspects)
+      this.#removeFromIndex(record, suspect);
   }
 }
 
--- a/src/scheduling/rendezvous.ts
+++ b/src/scheduling/rendezvous.ts
@@ -1,7 +1,6 @@
 /** Rendezvous hashing: all routers rank members alike without messages. */
 
-const FNV_OFFSET_BASIS = 0x811c9dc5;
-const FNV_PRIME = 0x01000193;
+import { fnv1a, mix } from "../common/text_hash.ts";
 
 /** A member and its weight for the key. */
 interface Weighted<T> {
@@ -21,10 +20,10 @@
   members: readonly T[],
   count: number,
 ): T[] {
-  const seed = hash(key, FNV_OFFSET_BASIS);
+  const seed = fnv1a(key);
   const top: Weighted<T>[] = [];
   for (const member of members) {
-    const weight = mix(hash(member.id, seed));
+    const weight = mix(fnv1a(member.id, seed));
     const last = top.at(-1);
     if (top.length === count && last !== undefined && weight <= last.weight)
       continue;
@@ -34,18 +33,3 @@
   }
   return top.map(({ member }) => member);
 }
-
-/** FNV-1a over the code units of a text. */
-function hash(text: string, seed: number): number {
-  let value = seed;
-  for (let index = 0; index < text.length; index += 1)
-    value = Math.imul(value ^ text.charCodeAt(index), FNV_PRIME);
-  return value;
-}
-
-/** Spreads the last characters over all bits; murmur3's finalizer. */
-function mix(value: number): number {
-  let mixed = Math.imul(value ^ (value >>> 16), 0x85ebca6b);
-  mixed = Math.imul(mixed ^ (mixed >>> 13), 0xc2b2ae35);
-  return (mixed ^ (mixed >>> 16)) >>> 0;
-}
--- a/tests/direct/crash_dissemination_test.ts
+++ b/tests/direct/crash_dissemination_test.ts
@@ -108,7 +108,7 @@
 const readReports = (router: RouterFixture) =>
   readMetric(
     router,
-    /^oriole_received_messages_total\{type="(crash|sound)-report"\} /,
+    /^oriole_received_messages_total\{type="(crash-report|sound-report|crash-record)"\} /,
   );
 
 async function call(
@@ -190,3 +190,28 @@
   const after = (await readReports(other)) + (await readReports(reporter));
   assert.equal(after - before, 0, "reports after the sessions were made again");
 });
+
+test("a router that shares no relay with the one that found crashes learns of them", async () => {
+  const [gatePort = 0] = await freePorts(1);
+  const hosts = OTHER_HOSTS.slice(0, 4);
+  for (const host of [HOST, ...hosts]) {
+    const admission = await startAdmission(gatePort, { host });
+    closers.push(() => admission.close());
+  }
+  const { reporter } = await createFleet({ gatePort, hosts });
+  const engine = { slots: 8, cacheTokens: 10_000, copiedTokensPerMs: 0 };
+  const services = [{ name: "desk", maxConnections: 100, engine }];
+  const configuration = createConfiguration({ services });
+  const isolated: RouterFixture[] = [];
+  for (const host of hosts) {
+    const router = await startRouter([], { configuration, gatePort });
+    closers.push(() => router.close());
+    const state = "draining";
+    router.router.directory.put(
+      createServer({ id: host, host, port: 1, state }),
+    );
+    isolated.push(router);
+  }
+  await crashServers(reporter);
+  for (const router of isolated) await waitForSameSuspects(reporter, router);
+});
