Direct path: a caller has time to read a truncated stream before its reset

Cause: the router resets its caller's connection as soon as the server's is reset, some milliseconds after it has forwarded the part before. A caller whose process is busy reads both at once, and libuv reports that as the end. The router's own reading isn't at fault: it had reset these connections.

Evidence: a caller that is busy for 50 ms after its request gets the part and a plain end from a router that resets 10 ms after the part (tests/direct/response_end_test.ts, "a busy caller is shown that a stream without a length broke off", failed before).

Change: a response that lasts until its connection closes is reset 100 ms after it broke off; at the end of a shutdown at once. Other responses show by their length or chunks that they are truncated. What a caller reads later than that can't be helped without a framing for which the router would have to vouch.

--- a/src/direct/caller_response.ts
+++ b/src/direct/caller_response.ts
@@ -37,6 +37,12 @@
 }
 
 const MS_PER_SECOND = 1_000;
+/**
+ * Time that a caller is given to read the last bytes of a response that only a
+ * reset shows to be truncated. Many runtimes take a reset that they read together
+ * with data for the end; a busy process reads some ten milliseconds late.
+ */
+const LAST_READ_MS = 100;
 
 /** Writes one response and detects a disconnect of its caller. */
 export class CallerResponse {
@@ -46,6 +52,7 @@
   readonly #disconnect = new AbortController();
   #status: number | null = null;
   #isResumable = false;
+  #endsWithConnection = false;
 
   constructor(
     request: IncomingMessage,
@@ -119,7 +126,8 @@
       if (isResumable && name === "content-length") continue;
       response.setHeader(name, value);
     }
-    if (framingOf(headers) === "until-close") {
+    this.#endsWithConnection = framingOf(headers) === "until-close";
+    if (this.#endsWithConnection) {
       // A server's close doesn't show that its response is complete, so the
       // router must not mark an end by a last chunk.
       response.useChunkedEncodingByDefault = false;
@@ -146,6 +154,16 @@
 
   /** Resets the connection, so that a truncated response can't look complete. */
   reset(): void {
+    if (!this.#endsWithConnection) {
+      this.resetAtOnce();
+      return;
+    }
+    const timer = setTimeout(() => this.resetAtOnce(), LAST_READ_MS);
+    this.#response.once("close", () => clearTimeout(timer));
+  }
+
+  /** Resets the connection though its caller may not have read all of it. */
+  resetAtOnce(): void {
     this.#response.socket?.resetAndDestroy();
   }
 
--- a/src/direct/caller_server.ts
+++ b/src/direct/caller_server.ts
@@ -127,7 +127,7 @@
   closeAllConnections(): void {
     for (const exchanges of this.#unflushed.values()) {
       for (const { response } of exchanges) {
-        if (response.hasStarted) response.reset();
+        if (response.hasStarted) response.resetAtOnce();
       }
     }
     this.#server.closeAllConnections();
--- a/tests/direct/response_end_test.ts
+++ b/tests/direct/response_end_test.ts
@@ -1,7 +1,9 @@
 /** How the end of a server's response looks to its caller. */
 
 import assert from "node:assert/strict";
+import { once } from "node:events";
 import { afterEach, test } from "node:test";
+import { Worker } from "node:worker_threads";
 import type { Route } from "../../src/routing/mod.ts";
 import type {
   ReceivedRequest,
@@ -240,3 +242,42 @@
     assert.deepEqual(await call(), expected);
   });
 }
+
+/**
+ * A caller whose thread is busy for a time after it has sent its request, and
+ * that takes each end without an error for the end of the response.
+ */
+const BUSY_CALLER = `
+const { parentPort, workerData } = require("node:worker_threads");
+const { port, busyMs } = workerData;
+const socket = require("node:net").connect(port, "127.0.0.1");
+let text = "";
+const lines = ["GET /lookup/1 HTTP/1.1", "Host: desk.example", "X-Attempt-Id: id"];
+socket.write(lines.join("\\r\\n") + "\\r\\n\\r\\n", () => {
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, busyMs);
+});
+socket.on("data", (chunk) => { text += chunk.toString("latin1"); });
+socket.on("end", () => parentPort.postMessage({ text, end: "closed" }));
+socket.on("error", () => parentPort.postMessage({ text, end: "reset" }));
+`;
+
+// Guards against truncated streams that look complete to a caller that reads their
+// last bytes and the router's reset at once.
+test("a busy caller is shown that a stream without a length broke off", async () => {
+  const script: Script = (request) => {
+    startUnframed(request);
+    setTimeout(() => request.socket.write(ONE_EVENT), 10);
+    setTimeout(() => request.socket.resetAndDestroy(), 20);
+  };
+  await start(script, NOT_RESUMABLE);
+  for (let repeat = 0; repeat < 5; repeat += 1) {
+    const workerData = { port: fixture.port, busyMs: 50 };
+    const worker = new Worker(BUSY_CALLER, { eval: true, workerData });
+    const [{ text, end }] = (await once(worker, "message")) as [
+      { readonly text: string; readonly end: string },
+    ];
+    await worker.terminate();
+    assert.ok(text.endsWith(ONE_EVENT), text);
+    assert.equal(end, "reset");
+  }
+});
