Quarantine: a comparison asks for 16 records at a time

Cause: a process that has lost its memory is offered all crashes, up to 256, and asked for all at once: their encoding would be one turn of some 250 ms at the process that answers.

Change: 16 are asked for; the comparison goes on when they have come. Test: "many records are asked for in several messages", which asked for 100 at once before.

--- a/src/quarantine/crash_sync.ts
+++ b/src/quarantine/crash_sync.ts
@@ -17,6 +17,9 @@
  */
 const ANSWER_MS = 500;
 
+/** Records that are asked for at once: they are encoded and decoded in one turn. */
+const QUERY_LIMIT = 16;
+
 /** Called with each record that the other process has and this one hasn't. */
 export type RecordReceiver = (record: CrashReport) => void;
 
@@ -26,6 +29,8 @@
   readonly #evidence: CrashEvidence;
   readonly #onRecord: RecordReceiver;
   readonly #askedAtMs = new Map<string, number>();
+  /** Whether more records were offered than were asked for. */
+  #isLimited = false;
 
   constructor(clock: Clock, evidence: CrashEvidence, onRecord: RecordReceiver) {
     this.#clock = clock;
@@ -54,7 +59,7 @@
       case "crash-record":
         this.#askedAtMs.delete(message.crash);
         this.#onRecord({ ...message, type: "crash-report" });
-        return [];
+        return this.#continueComparison();
       default:
         return message satisfies never;
     }
@@ -77,11 +82,20 @@
       .filter((digest) => this.#evidence.isBehind(digest))
       .map(([crash]) => crash)
       .filter((crash) => !this.#askedAtMs.has(crash));
+    this.#isLimited = crashes.length > QUERY_LIMIT;
+    crashes.splice(QUERY_LIMIT);
     if (crashes.length === 0) return [];
     for (const crash of crashes) this.#askedAtMs.set(crash, nowMs);
     return [{ type: "crash-query", crashes }];
   }
 
+  /** Asks for the next records once those asked for have come. */
+  #continueComparison(): CrashSyncMessage[] {
+    if (!this.#isLimited || this.#askedAtMs.size > 0) return [];
+    this.#isLimited = false;
+    return [this.summary];
+  }
+
   #answer(crash: string): CrashSyncMessage[] {
     const report = this.#evidence.reportOf(crash);
     return report === null ? [] : [{ ...report, type: "crash-record" }];
--- a/tests/quarantine/crash_sync_test.ts
+++ b/tests/quarantine/crash_sync_test.ts
@@ -15,6 +15,8 @@
 } from "../../src/quarantine/mod.ts";
 import { createManualClock } from "../support/manual_clock.ts";
 
+/** Records that are sent in one turn: some 10 ms of encoding. */
+const RECORDS_LIMIT = 16;
 /** Time after which a record is asked for again. */
 const ASK_AGAIN_MS = 500;
 
@@ -111,6 +113,22 @@
   assert.equal(other.sync.handle(offer).length, 1);
 });
 
+test("many records are asked for in several messages", () => {
+  const one = createProcess();
+  const other = createProcess(one.clock);
+  for (let count = 0; count < 100; count += 1)
+    one.evidence.addCrash(crash(`c${count}`, "a"));
+  const longest = compare(one, other).reduce(
+    (most, message) =>
+      message.type === "crash-query"
+        ? Math.max(most, message.crashes.length)
+        : most,
+    0,
+  );
+  assert.ok(longest <= RECORDS_LIMIT, `${longest} records at once`);
+  assert.equal(other.evidence.summary, one.evidence.summary);
+});
+
 interface Fact {
   readonly process: number;
   readonly crash: string;
