--- a/src/admission/admission_process.ts
+++ b/src/admission/admission_process.ts
@@ -5,17 +5,17 @@
 import type { EventLog } from "../common/event_log.ts";
 import { packNotice, ServerNotices, unpackNotice } from "../directory/mod.ts";
 import { OriginMemory, packOrigin, unpackOrigin } from "../origins/mod.ts";
-import type {
-  CrashReport,
-  OriginAnswer,
-  OriginNotice,
-  OriginQuery,
-  ServerNoticeReport,
-  ServerReport,
-  SoundReport,
-  TeamUsage,
+import {
+  type CrashReport,
+  type OriginAnswer,
+  type OriginNotice,
+  type OriginQuery,
+  prepareSchemas,
+  type ServerNoticeReport,
+  type ServerReport,
+  type SoundReport,
+  type TeamUsage,
 } from "../protocol/mod.ts";
-import { CrashEvidence } from "../quarantine/mod.ts";
 import type { PromptPart } from "../scheduling/mod.ts";
 import {
   type Connection,
@@ -25,6 +25,7 @@
   Traffic,
 } from "../transport/mod.ts";
 import { AdmissionController } from "./controller.ts";
+import { CrashRelay } from "./crash_relay.ts";
 import type { EngineState } from "./engine_state.ts";
 import { ReportThrottle } from "./report_throttle.ts";
 import { type RelayedReport, RouterSession } from "./router_session.ts";
@@ -50,7 +51,9 @@
   readonly #controller = new AdmissionController(systemClock, this.#notices);
   /** Beginnings of streams at all servers, for routers to find. */
   readonly #origins = new OriginMemory(systemClock);
-  readonly #crashEvidence = new CrashEvidence(systemClock);
+  readonly #crashRelay = new CrashRelay(systemClock, {
+    send: (report) => this.#sendToAll(report),
+  });
   readonly #sessions = new Set<RouterSession>();
   readonly #listener: Listener;
   readonly #reportedUsageByTeam = new Map<string, number>();
@@ -60,6 +63,7 @@
   #reportTimer: NodeJS.Timeout | null = null;
   #admissionTimer: NodeJS.Timeout | null = null;
   #teamLogTimer: NodeJS.Timeout | null = null;
+  #stopPreparing: (() => void) | null = null;
 
   constructor(
     settings: AdmissionSettings,
@@ -91,9 +95,10 @@
     const { instance, service, listen } = this.#settings;
     await this.#listener.listen(listen);
     this.#scheduleReport();
+    this.#stopPreparing = prepareSchemas();
     this.#teamLogTimer = setInterval(() => {
       this.#logTeams();
-      this.#crashEvidence.sweep();
+      this.#crashRelay.sweep();
     }, TEAM_LOG_INTERVAL_MS);
     this.#events.info("start", { instance, service });
   }
@@ -109,6 +114,8 @@
   async close(): Promise<void> {
     if (this.#reportTimer !== null) clearTimeout(this.#reportTimer);
     this.#stopAdmitting();
+    this.#crashRelay.close();
+    this.#stopPreparing?.();
     if (this.#teamLogTimer !== null) clearInterval(this.#teamLogTimer);
     this.#events.info("stop", { routers: this.#sessions.size });
     await this.#listener.close();
@@ -118,7 +125,8 @@
   async #serve(connection: Connection): Promise<void> {
     const { instance } = connection.peer;
     const session = new RouterSession(connection, this.#controller, {
-      onReport: (report) => this.#relayReport(report, session),
+      onReport: (report) => this.#crashRelay.receive(report),
+      onCrashSync: (message) => this.#crashRelay.compare(message),
       onAsk: () => this.#admitRegularly(),
       onLimitChange: () => this.#logLimit(instance),
       onOrigin: (notice) => this.#noteOrigin(notice),
@@ -127,8 +135,6 @@
       onOtherLimit: (notice) => this.#relayToOthers(notice, session),
     });
     this.#sessions.add(session);
-    for (const report of this.#crashEvidence.reports())
-      session.sendReport(report);
     for (const { start, notice } of this.#notices.current)
       session.sendReport(packNotice(start, notice));
     session.sendReport(this.#createReport([...this.#controller.recentUsage]));
@@ -155,10 +161,6 @@
   }
 
   /** Routers have no connections to each other, so reports are relayed here. */
-  #relayReport(report: CrashReport | SoundReport, from: RouterSession): void {
-    if (this.#crashEvidence.add(report)) this.#relayToOthers(report, from);
-  }
-
   #relayNotice(report: ServerNoticeReport, from: RouterSession): void {
     const { start, notice } = unpackNotice(report);
     if (this.#notices.note(start, notice)) this.#relayToOthers(report, from);
@@ -234,6 +236,10 @@
     const content = JSON.stringify({ ...report, teams: [] });
     if (content === this.#lastReport && teams.length === 0) return;
     this.#lastReport = content;
+    this.#sendToAll(report);
+  }
+
+  #sendToAll(report: ServerReport | CrashReport | SoundReport): void {
     const frame = encode(report);
     for (const session of this.#sessions) session.sendEncoded(report, frame);
   }
--- a/src/protocol/schema.ts
+++ b/src/protocol/schema.ts
@@ -42,6 +42,16 @@
 /** Bounded by what a process stores of one crash. */
 const suspectList = { type: "array", maxItems: 256 };
 const suspectTexts = { ...suspectList, items: text };
+const crashReport = {
+  crash: text,
+  ageMs: amount,
+  requests: { ...suspectList, items: tuple(text, suspectTexts) },
+  cleared: suspectTexts,
+};
+/** Bounded by the crashes that a process stores. */
+const crashList = { type: "array", maxItems: 256 };
+const crashDigest = tuple(text, count, count, count);
+const crashDigests = { digests: { ...crashList, items: crashDigest } };
 const teams = { type: "array", items: tuple(text, amount) };
 const prompt = { team: text, parts, outputTokens: amount };
 
@@ -128,11 +138,12 @@
   },
   strike: { crash: text, fingerprints: { type: "array", items: text } },
   clear: { fingerprint: text },
-  "crash-report": {
-    crash: text,
-    ageMs: amount,
-    requests: { ...suspectList, items: tuple(text, suspectTexts) },
-  },
+  "crash-report": crashReport,
+  "crash-summary": { digest: count },
+  "crash-digests": crashDigests,
+  "crash-offer": crashDigests,
+  "crash-query": { crashes: { ...crashList, items: text } },
+  "crash-record": crashReport,
   "sound-report": { suspects: suspectTexts, ageMs: amount },
   "engine-terms": {
     version: count,
@@ -212,6 +223,30 @@
   return schemaOf(type as Message["type"]).check(value);
 }
 
+/** Messages that come first, and many at once, when a server crashes. */
+const BURST_MESSAGES: readonly Message["type"][] = [
+  ...(["crash-report", "sound-report", "crash-summary"] as const),
+  ...(["crash-digests", "crash-offer", "crash-query"] as const),
+  ...(["crash-record", "server-notice", "request-limit"] as const),
+];
+/** Each schema takes some milliseconds to compile. */
+const PREPARATION_INTERVAL_MS = 200;
+
+/**
+ * Compiles the schemas of messages that come in bursts, one at a time: at the
+ * first message of a burst it would delay all others. Returns a function that
+ * stops it.
+ */
+export function prepareSchemas(): () => void {
+  const left = [...BURST_MESSAGES];
+  const timer = setInterval(() => {
+    const next = left.shift();
+    if (next === undefined) clearInterval(timer);
+    else schemaOf(next).compile();
+  }, PREPARATION_INTERVAL_MS);
+  return () => clearInterval(timer);
+}
+
 function schemaOf(type: Message["type"]): Schema<Message> {
   const known = schemas.get(type);
   if (known !== undefined) return known;
