Direct path: a router compiles the schemas of its first messages before it takes callers

Cause: a router that starts is ready as soon as it has a configuration, and compiles the schemas of messages while the first ones come from all controllers.

Change: hello, proof, heartbeat, server-report and permit are compiled before the router listens.

--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -15,7 +15,10 @@
 } from "../directory/mod.ts";
 import { TeamShares, TeamTally } from "../fairness/mod.ts";
 import * as metrics from "../metrics/mod.ts";
-import type { RequestLimitNotice } from "../protocol/mod.ts";
+import {
+  compileFirstSchemas,
+  type RequestLimitNotice,
+} from "../protocol/mod.ts";
 import { Scheduler } from "../scheduling/mod.ts";
 import type { Identity } from "../transport/mod.ts";
 import { AdmissionClients } from "./admission_clients.ts";
@@ -194,6 +197,7 @@
   /** Starts listening. Rejects if an address can't be bound. */
   async start(): Promise<void> {
     const { entry, ready, metrics, instance } = this.#settings;
+    compileFirstSchemas();
     await this.#callerServer.listen(parseAddress(entry));
     await this.#readyEndpoint.listen(parseAddress(ready));
     if (metrics !== undefined) {
--- a/src/protocol/mod.ts
+++ b/src/protocol/mod.ts
@@ -2,4 +2,4 @@
 
 export { fieldNumbers } from "./field_numbers.ts";
 export * from "./message.ts";
-export { parseMessage, prepareSchemas } from "./schema.ts";
+export { compileFirstSchemas, parseMessage, prepareSchemas } from "./schema.ts";
--- a/src/protocol/schema.ts
+++ b/src/protocol/schema.ts
@@ -223,6 +223,11 @@
   return schemaOf(type as Message["type"]).check(value);
 }
 
+/** Messages that come from all admission controllers as soon as a router starts. */
+const FIRST_MESSAGES: readonly Message["type"][] = [
+  ...(["hello", "proof", "heartbeat", "server-report"] as const),
+  ...(["permit"] as const),
+];
 /** Messages that come first, and many at once, when a server crashes. */
 const BURST_MESSAGES: readonly Message["type"][] = [
   ...(["crash-report", "sound-report", "crash-summary"] as const),
@@ -232,6 +237,14 @@
 /** Each schema takes some milliseconds to compile. */
 const PREPARATION_INTERVAL_MS = 200;
 
+/**
+ * Compiles the schemas of messages that a router gets as soon as it starts. Call
+ * it before callers come: it takes up to a tenth of a second of a full core.
+ */
+export function compileFirstSchemas(): void {
+  for (const type of FIRST_MESSAGES) schemaOf(type).compile();
+}
+
 /**
  * Compiles the schemas of messages that come in bursts, one at a time: at the
  * first message of a burst it would delay all others. Returns a function that
