--- a/src/direct/admission_clients.ts
+++ b/src/direct/admission_clients.ts
@@ -16,11 +16,7 @@
   type SoundReport,
 } from "../protocol/mod.ts";
 import type { RouteTable } from "../routing/mod.ts";
-import {
-  type EngineAdmission,
-  type LimitObservation,
-  topRanked,
-} from "../scheduling/mod.ts";
+import type { EngineAdmission, LimitObservation } from "../scheduling/mod.ts";
 import {
   type ConnectionOwner,
   type Identity,
@@ -28,6 +24,7 @@
 } from "../transport/mod.ts";
 import { AdmissionClient, limitNotice } from "./admission_client.ts";
 import type { OriginHolder } from "./origin_queries.ts";
+import { type OpenController, Relays } from "./relays.ts";
 import type { DirectRouterSettings } from "./settings.ts";
 
 /** Dependencies of `AdmissionClients`. */
@@ -65,13 +62,6 @@
   onConnection(host: string): void;
 }
 
-/** An admission controller with an open connection. */
-interface Controller {
-  /** Its host. */
-  readonly id: string;
-  readonly client: AdmissionClient;
-}
-
 /** Client and servers of one host; an admission controller serves its host. */
 interface HostEntry {
   readonly client: AdmissionClient;
@@ -82,21 +72,6 @@
   readonly servers: Map<string, BackendServer>;
 }
 
-/**
- * Admission controllers that relay what a router reports to the other routers: a
- * second one, because the first may be cut off from some of them. All routers
- * choose the same ones, so that these merge what many routers report.
- */
-const RELAYS = 2;
-/** Key by which the relays are ranked. */
-const RELAY_KEY = "relay";
-/**
- * Interval at which the crash evidence is compared with that of an admission
- * controller: reports may be lost with sessions. A few comparisons take less
- * than the 3 s after which callers' rules expect the fleet to know of a crash.
- */
-const COMPARISON_INTERVAL_MS = 1_000;
-
 /** One client for each host that runs an engine. */
 export class AdmissionClients {
   readonly #deps: AdmissionClientsDependencies;
@@ -104,12 +79,8 @@
   readonly #traffic = new Traffic();
   /** Keyed by host: a server that restarts keeps its admission controller. */
   readonly #entries = new Map<string, HostEntry>();
-  /** Hosts of the relays at the last change of connections. */
-  #relayHosts: ReadonlySet<string> = new Set();
-  readonly #comparisonTimer: NodeJS.Timeout;
+  readonly #relays: Relays;
   readonly #stopPreparing: () => void;
-  /** Turns of the comparison; begins anywhere, unlike that of other routers. */
-  #comparisons = Math.floor(Math.random() * 2 ** 16);
 
   constructor(
     deps: AdmissionClientsDependencies,
@@ -117,10 +88,10 @@
   ) {
     this.#deps = deps;
     this.#callbacks = callbacks;
-    this.#comparisonTimer = setInterval(
-      () => this.#compareWithNextController(),
-      COMPARISON_INTERVAL_MS,
-    );
+    this.#relays = new Relays({
+      openControllers: () => this.#openControllers,
+      crashSummary: () => this.#callbacks.crashSummary(),
+    });
     this.#stopPreparing = prepareSchemas();
   }
 
@@ -161,12 +132,12 @@
 
   /** Reports to all routers, through the relays. */
   sendReport(report: CrashReport | SoundReport): void {
-    for (const { client } of this.#relays()) client.send(report);
+    for (const { client } of this.#relays.choose()) client.send(report);
   }
 
   /** Controllers that are connected, as holders of the origins of streams. */
   get originHolders(): OriginHolder[] {
-    return this.#open.map(({ id, client }) => ({
+    return this.#openControllers.map(({ id, client }) => ({
       id,
       send: (message) => client.send(message),
     }));
@@ -178,7 +149,7 @@
     observation: LimitObservation,
   ): void {
     const notice = limitNotice(server, observation, this.#deps);
-    for (const { client } of this.#relays()) client.send(notice);
+    for (const { client } of this.#relays.choose()) client.send(notice);
   }
 
   /**
@@ -187,7 +158,7 @@
    */
   shareServerNotice(host: string, report: ServerNoticeReport): void {
     this.#entries.get(host)?.client.send(report);
-    for (const { client } of this.#relays({ except: host }))
+    for (const { client } of this.#relays.choose({ except: host }))
       client.send(report);
   }
 
@@ -197,38 +168,15 @@
       .length;
   }
 
-  get #open(): Controller[] {
+  get #openControllers(): OpenController[] {
     return [...this.#entries]
       .map(([id, { client }]) => ({ id, client }))
       .filter(({ client }) => client.isOpen);
   }
 
-  #relays({ except }: { readonly except?: string } = {}): Controller[] {
-    const usable = this.#open.filter(({ id }) => id !== except);
-    return topRanked(RELAY_KEY, usable, RELAYS);
-  }
-
-  /** Compares crash evidence with controllers that have become relays. */
-  #handleConnection(host: string): void {
-    const relays = this.#relays();
-    const before = this.#relayHosts;
-    this.#relayHosts = new Set(relays.map(({ id }) => id));
-    for (const { id, client } of relays)
-      if (!before.has(id)) client.send(this.#callbacks.crashSummary());
-    this.#callbacks.onConnection(host);
-  }
-
-  /** With each in turn, so that what only some of them know reaches all. */
-  #compareWithNextController(): void {
-    const open = this.#open;
-    this.#comparisons += 1;
-    const next = open[this.#comparisons % open.length];
-    next?.client.send(this.#callbacks.crashSummary());
-  }
-
   /** Closes all connections. */
   close(): void {
-    clearInterval(this.#comparisonTimer);
+    this.#relays.close();
     this.#stopPreparing();
     for (const { client } of this.#entries.values()) client.close();
   }
@@ -248,7 +196,10 @@
       onServerNotice: (report) => this.#callbacks.onServerNotice(report),
       onRequestLimit: (notice) => this.#callbacks.onRequestLimit(notice),
       onOrigin: (answer) => this.#callbacks.onOrigin(answer),
-      onConnection: () => this.#handleConnection(host),
+      onConnection: () => {
+        this.#relays.handleConnectionChange();
+        this.#callbacks.onConnection(host);
+      },
     });
   }
 
--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -31,6 +31,7 @@
 import { ConnectionPool } from "./connection_pool.ts";
 import { CrashGuard } from "./crash_guard.ts";
 import type { Dialect } from "./dialect.ts";
+import { HealthLog, type Readiness } from "./health_log.ts";
 import { MonitoringEndpoint } from "./monitoring_endpoint.ts";
 import { RetryBudget, type RetryLimits } from "./retry_budget.ts";
 import { type DirectRouterSettings, parseAddress } from "./settings.ts";
@@ -61,17 +62,6 @@
 const SWEEP_INTERVAL_MS = 100;
 const MS_PER_SECOND = 1_000;
 
-/** Shorter turns of the event loop aren't logged. */
-const LOGGED_TURN_MS = 100;
-
-/** Whether a router takes callers, or why it doesn't. */
-type Readiness =
-  | "ready"
-  | "stopping"
-  | "no-configuration"
-  | "keys-too-old"
-  | "overloaded";
-
 /** One router. Call `start`, then `close`. */
 export class DirectRouter {
   /** Configuration in force; its source confirms that it is current. */
@@ -94,7 +84,7 @@
   readonly #metricsEndpoint: MonitoringEndpoint;
   readonly #teamTally = new TeamTally();
   readonly #profile: EventLoopProfile;
-  #readiness: Readiness = "no-configuration";
+  readonly #healthLog: HealthLog;
   #sweepTimer: NodeJS.Timeout | null = null;
   #teamLogTimer: NodeJS.Timeout | null = null;
   #closing = false;
@@ -183,6 +173,15 @@
       ready: () => this.#isReady(),
       metrics: () => this.#metrics.text(),
     };
+    this.#healthLog = new HealthLog({
+      ...{ events, profile },
+      state: () => ({
+        readiness: this.#currentReadiness,
+        openRequests: this.#callerServer.openRequests,
+        waiting: this.waiting,
+        standingQueueMs: this.#callerServer.standingQueueMs,
+      }),
+    });
     this.#readyEndpoint = new MonitoringEndpoint(sources);
     this.#metricsEndpoint = new MonitoringEndpoint(sources);
     this.#registerMetrics();
@@ -206,11 +205,11 @@
     this.#sweepTimer = setInterval(() => {
       this.directory.sweep();
       this.#crashGuard.sweep();
-      this.#logReadinessChange();
+      this.#healthLog.logReadinessChange();
     }, SWEEP_INTERVAL_MS);
     this.#teamLogTimer = setInterval(() => {
       this.#logTeams();
-      this.#logEventLoop();
+      this.#healthLog.logEventLoop();
     }, TEAM_LOG_INTERVAL_MS);
     this.#profile.start();
     this.#events.info("start", { instance, entry });
@@ -365,35 +364,6 @@
     return true;
   }
 
-  /** Logs a second in which the event loop was blocked for long. */
-  #logEventLoop(): void {
-    const { longestTurnMs, processorShare, amounts } = this.#profile.take();
-    if (longestTurnMs < LOGGED_TURN_MS) return;
-    const { decoding, "crash-reports": reports, placing } = amounts;
-    this.#events.warn("event-loop", {
-      longestTurnMs: Math.round(longestTurnMs),
-      processorShare: Number(processorShare.toFixed(3)),
-      ...{ received: decoding.count, placings: placing.count },
-      decodingMs: Math.round(decoding.tookMs),
-      crashReports: reports.count,
-      crashReportsMs: Math.round(reports.tookMs),
-      placingMs: Math.round(placing.tookMs),
-      ...{ openRequests: this.#callerServer.openRequests },
-      ...{ waiting: this.waiting, readiness: this.#currentReadiness },
-    });
-  }
-
-  #logReadinessChange(): void {
-    const readiness = this.#currentReadiness;
-    if (readiness === this.#readiness) return;
-    const before = this.#readiness;
-    this.#readiness = readiness;
-    const standingMs = Math.round(this.#callerServer.standingQueueMs);
-    const { openRequests } = this.#callerServer;
-    const fields = { readiness, before, standingMs, openRequests };
-    this.#events.info("readiness", fields);
-  }
-
   get #currentReadiness(): Readiness {
     if (this.#closing) return "stopping";
     if (this.configuration.table === null) return "no-configuration";
