--- a/src/quarantine/crash_evidence.ts
+++ b/src/quarantine/crash_evidence.ts
@@ -106,13 +106,6 @@
     }
   }
 
-  /** Adds a crash; returns whether it says anything new. */
-  addCrash(crash: Pick<CrashReport, "crash" | "ageMs" | "requests">): boolean {
-    const isKnown = this.#records.has(crash.crash);
-    const { requests, cleared } = this.#addReport({ ...crash, cleared: [] });
-    return !isKnown || requests.length + cleared.length > 0;
-  }
-
   #addReport(report: Omit<CrashReport, "type">): CrashNews {
     const news: CrashNews = { requests: [], cleared: [] };
     if (report.ageMs > CRASH_MAX_AGE_MS) return news;
@@ -203,13 +196,6 @@
     return { type: "sound-report", suspects: sound, ageMs: soundAgeMs };
   }
 
-  /** Returns a report of each crash that has a suspect. */
-  reports(): CrashReport[] {
-    return [...this.#records.values()]
-      .filter(({ isOpen }) => isOpen)
-      .map((record) => this.#reportOf(record));
-  }
-
   /** Returns the report of a crash as it is stored; null if it isn't. */
   reportOf(id: string): CrashReport | null {
     const record = this.#records.get(id);
--- a/tests/quarantine/crash_attribution_test.ts
+++ b/tests/quarantine/crash_attribution_test.ts
@@ -27,6 +27,13 @@
   return [`f${lastRequest}`, parts];
 }
 
+function createReport(
+  crash: string,
+  requests: CrashReport["requests"],
+): CrashReport {
+  return { type: "crash-report", crash, ageMs: 0, requests, cleared: [] };
+}
+
 function createBreaker({ random = 0 }: { readonly random?: number } = {}) {
   const clock = createManualClock();
   const evidence = new CrashEvidence(clock);
@@ -34,7 +41,7 @@
   let crashes = 0;
   const crash = (...requests: CrashReport["requests"]) => {
     crashes += 1;
-    evidence.addCrash({ crash: `c${crashes}`, ageMs: 0, requests });
+    evidence.add(createReport(`c${crashes}`, requests));
   };
   const isRefused = (parts: readonly string[], holder: object = {}) =>
     breaker.refusal(parts.map(partSuspect), holder) !== null;
@@ -145,10 +152,12 @@
   const { clock, evidence, crash } = createBreaker();
   for (let count = 0; count < 300; count += 1)
     crash(...Array.from({ length: 100 }, () => run("a", "b", "c")));
-  const reports = evidence.reports();
-  assert.equal(reports.length, 256);
-  for (const { requests } of reports)
-    assert.ok(requests.length <= 256 && requests.flat(2).length <= 256);
+  assert.equal(evidence.digests.length, 256);
+  for (const [id] of evidence.digests) {
+    const requests = evidence.reportOf(id)?.requests ?? [];
+    assert.ok(requests.length > 0 && requests.length <= 256);
+    assert.ok(requests.flat(2).length <= 256);
+  }
   clock.advance(3 * MAX_REFUSAL_MS + 1);
   evidence.sweep();
   assert.equal(evidence.suspects.size, 0);
@@ -175,11 +184,7 @@
   for (const { crash, sound, part } of lists.flat()) {
     if (sound) evidence.addSound([partSuspect(part)]);
     else
-      evidence.addCrash({
-        crash: `c${crash}`,
-        ageMs: 0,
-        requests: [[`f${crash}${part}`, [part]]],
-      });
+      evidence.add(createReport(`c${crash}`, [[`f${crash}${part}`, [part]]]));
   }
   const suspects = [...evidence.suspects].sort();
   const causes = breaker.causes.map((cause) => cause.suspects).sort();
--- a/tests/quarantine/crash_sync_test.ts
+++ b/tests/quarantine/crash_sync_test.ts
@@ -6,7 +6,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import fc from "fast-check";
-import type { CrashSyncMessage } from "../../src/protocol/mod.ts";
+import type { CrashReport, CrashSyncMessage } from "../../src/protocol/mod.ts";
 import {
   CrashBreaker,
   CrashEvidence,
@@ -45,16 +45,16 @@
   return sent;
 }
 
-const crash = (id: string, ...parts: string[]) => ({
-  ...{ crash: id, ageMs: 0 },
-  requests: [[`f-${id}-${parts.join()}`, parts] as const],
+const crash = (id: string, ...parts: string[]): CrashReport => ({
+  ...{ type: "crash-report", crash: id, ageMs: 0, cleared: [] },
+  requests: [[`f-${id}-${parts.join()}`, parts]],
 });
 
 test("a comparison brings what either of two processes lacks", () => {
   const one = createProcess();
   const other = createProcess(one.clock);
-  for (const id of ["c1", "c2", "c3"]) one.evidence.addCrash(crash(id, "bad"));
-  other.evidence.addCrash(crash("c4", "bad"));
+  for (const id of ["c1", "c2", "c3"]) one.evidence.add(crash(id, "bad"));
+  other.evidence.add(crash("c4", "bad"));
   compare(one, other);
   const causes = (process: Process) =>
     process.breaker.causes.map(({ suspects, crashes }) => ({
@@ -68,7 +68,7 @@
 test("processes that know the same send only a summary", () => {
   const one = createProcess();
   const other = createProcess(one.clock);
-  for (const id of ["c1", "c2"]) one.evidence.addCrash(crash(id, "a", "b"));
+  for (const id of ["c1", "c2"]) one.evidence.add(crash(id, "a", "b"));
   one.evidence.addSound([partSuspect("a")]);
   compare(one, other);
   assert.deepEqual(
@@ -80,7 +80,7 @@
 test("a suspect that was cleared isn't one again after a comparison", () => {
   const one = createProcess();
   const other = createProcess(one.clock);
-  for (const { evidence } of [one, other]) evidence.addCrash(crash("c", "a"));
+  for (const { evidence } of [one, other]) evidence.add(crash("c", "a"));
   one.evidence.addSound([partSuspect("a")]);
   // The sound response itself is no longer known anywhere.
   for (let count = 0; count < 5_000; count += 1)
@@ -93,8 +93,8 @@
 test("only the process that knows less is sent a record", () => {
   const one = createProcess();
   const other = createProcess(one.clock);
-  for (const { evidence } of [one, other]) evidence.addCrash(crash("c", "a"));
-  one.evidence.addCrash(crash("c", "b"));
+  for (const { evidence } of [one, other]) evidence.add(crash("c", "a"));
+  one.evidence.add(crash("c", "b"));
   const records = compare(one, other).filter(
     ({ type }) => type === "crash-record",
   );
@@ -104,7 +104,7 @@
 test("a record that many peers offer is asked for once, and again if none came", () => {
   const one = createProcess();
   const other = createProcess(one.clock);
-  one.evidence.addCrash(crash("c", "a"));
+  one.evidence.add(crash("c", "a"));
   const [offer] = one.sync.handle({ type: "crash-digests", digests: [] });
   assert.ok(offer !== undefined);
   assert.equal(other.sync.handle(offer).length, 1);
@@ -117,7 +117,7 @@
   const one = createProcess();
   const other = createProcess(one.clock);
   for (let count = 0; count < 100; count += 1)
-    one.evidence.addCrash(crash(`c${count}`, "a"));
+    one.evidence.add(crash(`c${count}`, "a"));
   const longest = compare(one, other).reduce(
     (most, message) =>
       message.type === "crash-query"
@@ -154,7 +154,7 @@
       for (const { process, part, type, ...fact } of all) {
         const evidence = processes[process]?.evidence;
         if (type === "sound") evidence?.addSound([partSuspect(part)]);
-        else evidence?.addCrash(crash(fact.crash, part));
+        else evidence?.add(crash(fact.crash, part));
       }
       for (let round = 0; round < 6; round += 1) {
         clock.advance(ASK_AGAIN_MS);
