--- a/src/quarantine/crash_evidence.ts
+++ b/src/quarantine/crash_evidence.ts
@@ -169,16 +169,14 @@
     { ageMs = 0 }: { readonly ageMs?: number } = {},
   ): string[] {
     const atMs = this.#clock.monotonicMs() - ageMs;
-    const cleared = new Set<string>();
+    const news: CrashNews = { requests: [], cleared: [] };
     for (const suspect of suspects) {
       this.#sound.add(suspect, atMs);
-      for (const record of [...(this.#recordsBySuspect.get(suspect) ?? [])]) {
-        if (!this.#sound.covers(suspect, record.atMs)) continue;
-        if (record.clear(suspect)) this.#removeFromIndex(record, suspect);
-        cleared.add(suspect);
-      }
+      for (const record of [...(this.#recordsBySuspect.get(suspect) ?? [])])
+        if (this.#sound.covers(suspect, record.atMs))
+          this.#clear(record, suspect, news);
     }
-    return [...cleared];
+    return [...new Set(news.cleared)];
   }
 
   /** Returns those suspects of a report that are known to be sound. */
--- a/tests/direct/crash_dissemination_test.ts
+++ b/tests/direct/crash_dissemination_test.ts
@@ -11,6 +11,7 @@
 import { createConfiguration, createRoute } from "../support/routes.ts";
 import { createServer } from "../support/servers.ts";
 import {
+  callWithParts,
   createRouterFixture,
   type RouterFixture,
   respondCompletely,
@@ -116,17 +117,7 @@
   ...parts: readonly string[]
 ): Promise<void> {
   lastId += 1;
-  const all = [...parts, `last${lastId}`].map((part) => `${part}:10`);
-  const response = await request(`http://${HOST}:${port}/lookup/${lastId}`, {
-    method: "POST",
-    body: `body ${lastId}`,
-    headers: {
-      ...{ host: "desk.example", "x-attempt-id": `id-${lastId}` },
-      ...{ authorization: "Token key-1", "x-model": "m" },
-      ...{ "x-token-count": "100,10", "x-prefix-hash": all.join(",") },
-    },
-  });
-  await response.body.text().catch(() => "");
+  await callWithParts(port, { number: lastId, parts });
 }
 
 async function crashServers(reporter: RouterFixture): Promise<void> {
--- a/tests/direct/crashing_part_test.ts
+++ b/tests/direct/crashing_part_test.ts
@@ -8,6 +8,7 @@
 import { until } from "../../tools/fleet/until.ts";
 import { createConfiguration, createRoute } from "../support/routes.ts";
 import {
+  callWithParts,
   createRouterFixture,
   type RouterFixture,
   respondCompletely,
@@ -62,21 +63,9 @@
 }
 
 /** Sends a request that is like no other; returns its status. */
-async function call({ port = fixture.port, parts }: Call): Promise<number> {
+function call({ port = fixture.port, parts }: Call): Promise<number> {
   lastId += 1;
-  const all = [...parts, `last${lastId}`].map((part) => `${part}:10`);
-  const url = `http://${HOST}:${port}/lookup/${lastId}`;
-  const response = await request(url, {
-    method: "POST",
-    body: `body ${lastId}`,
-    headers: {
-      ...{ host: "desk.example", "x-attempt-id": `id-${lastId}` },
-      ...{ authorization: "Token key-1", "x-model": "m" },
-      ...{ "x-token-count": "100,10", "x-prefix-hash": all.join(",") },
-    },
-  });
-  await response.body.text().catch(() => "");
-  return response.statusCode;
+  return callWithParts(port, { number: lastId, parts });
 }
 
 /** Sends a request with the deadly part and parts that no other one has. */
--- a/tests/direct/fixture.ts
+++ b/tests/direct/fixture.ts
@@ -1,6 +1,7 @@
 /** A direct router with scripted backend servers. */
 
 import { setTimeout as delay } from "node:timers/promises";
+import { request } from "undici";
 import { headerDialect } from "../../platform/header_dialect.ts";
 import { AdmissionProcess } from "../../src/admission/mod.ts";
 import { EventLog } from "../../src/common/event_log.ts";
@@ -164,6 +165,31 @@
   configuration.confirm({ monotonicMs: performance.now(), wallMs: Date.now() });
 }
 
+/**
+ * Sends a request whose prompt has the shared parts and one of its own, and reads
+ * the response until it ends or breaks off; returns its status.
+ */
+export async function callWithParts(
+  port: number,
+  {
+    number,
+    parts,
+  }: { readonly number: number; readonly parts: readonly string[] },
+): Promise<number> {
+  const all = [...parts, `last${number}`].map((part) => `${part}:10`);
+  const response = await request(`http://127.0.0.1:${port}/lookup/${number}`, {
+    method: "POST",
+    body: `body ${number}`,
+    headers: {
+      ...{ host: "desk.example", "x-attempt-id": `id-${number}` },
+      ...{ authorization: "Token key-1", "x-model": "m" },
+      ...{ "x-token-count": "100,10", "x-prefix-hash": all.join(",") },
+    },
+  });
+  await response.body.text().catch(() => "");
+  return response.statusCode;
+}
+
 /** Headers that every response of a server has. */
 export function serverHeaders({ headers }: ReceivedRequest): string {
   return `X-Attempt-Id: ${headers["x-attempt-id"]}\r\nX-Response-Seal: seal\r\n`;
