Check of a configuration before it is sent: oriolerouter check, in both formats

Cause: an operator learns of a hidden route, a target behind its timeout or a key of two teams only when callers are refused.

--- a/src/cli/mod.ts
+++ b/src/cli/mod.ts
@@ -1,6 +1,7 @@
 /** The command line interface. */
 
 import { Command } from "commander";
+import { checkCommand } from "./check_command.ts";
 import { configCommand } from "./config_commands.ts";
 import { addDaemonCommands } from "./daemon_commands.ts";
 import { addExplainCommand } from "./explain_command.ts";
@@ -15,6 +16,7 @@
     .version("0.1.0")
     .addHelpText("after", EXIT_CODES_HELP);
   addDaemonCommands(program);
+  program.addCommand(checkCommand());
   program.addCommand(configCommand());
   program.addCommand(statusCommand());
   addExplainCommand(program);
--- a/src/configuration/json_text.ts
+++ b/src/configuration/json_text.ts
@@ -34,10 +34,15 @@
     );
   }
 
+  /** The value, of any type. */
+  get value(): unknown {
+    return jsonc.getNodeValue(this.#root);
+  }
+
   /** Returns the value if it matches the schema, or findings with lines. */
   check<T>(schema: Schema<T>): Result<T, Finding[]> {
     return schema
-      .check(jsonc.getNodeValue(this.#root))
+      .check(this.value)
       .mapErr((findings) => findings.map((finding) => this.withLine(finding)));
   }
 
--- a/src/configuration/mod.ts
+++ b/src/configuration/mod.ts
@@ -19,6 +19,7 @@
   type Team,
   versionedName,
 } from "./document.ts";
+export { JsonText } from "./json_text.ts";
 export { ConfigurationPeerSync } from "./peer_sync.ts";
 export {
   explain,
@@ -26,6 +27,7 @@
   type RequestFacts,
   type RuleEvaluation,
 } from "./rule.ts";
+export { findReferenceErrors, findUnreachableRules } from "./semantics.ts";
 export {
   type BackendServer,
   loadSettings,
@@ -35,5 +37,5 @@
   sideProcessSettingsSchema,
 } from "./settings.ts";
 export { readDocument, type StoredDocument } from "./stored_document.ts";
-export { validate } from "./validation.ts";
+export { parseDocument, validate } from "./validation.ts";
 export { ConfigurationWatcher } from "./watcher.ts";
--- a/src/configuration/semantics.ts
+++ b/src/configuration/semantics.ts
@@ -24,6 +24,14 @@
 
 /** Returns all semantic errors of a document that matches its schema. */
 export function findSemanticErrors(document: Document): SemanticError[] {
+  return [
+    ...findReferenceErrors(document),
+    ...findUnreachableRules(document.rules),
+  ];
+}
+
+/** Returns the semantic errors but for rules that can never match. */
+export function findReferenceErrors(document: Document): SemanticError[] {
   const known: KnownNames = {
     teams: namesOf(document.teams),
     services: namesOf(document.services),
@@ -35,7 +43,6 @@
     ...document.rules.flatMap((rule, index) =>
       checkRule({ document, known }, rule, `/rules/${index}`),
     ),
-    ...checkReachability(document.rules),
     ...checkTargets(document, known),
   ];
 }
@@ -126,7 +133,8 @@
   return [{ path: `${path}/then/version`, message }];
 }
 
-function checkReachability(rules: readonly Rule[]): SemanticError[] {
+/** Returns an error for each rule that an earlier one hides. */
+export function findUnreachableRules(rules: readonly Rule[]): SemanticError[] {
   return rules.flatMap((rule, index) => {
     const earlier = rules
       .slice(0, index)
