--- a/src/admission/admission_process.ts
+++ b/src/admission/admission_process.ts
@@ -3,10 +3,19 @@
 import { randomUUID } from "node:crypto";
 import { systemClock } from "../common/clock.ts";
 import type { EventLog } from "../common/event_log.ts";
-import { packNotice, ServerNotices, unpackNotice } from "../directory/mod.ts";
+import {
+  type EvacuationChange,
+  packEvacuations,
+  packNotice,
+  ServerNotices,
+  unpackEvacuations,
+  unpackNotice,
+  ZoneEvacuations,
+} from "../directory/mod.ts";
 import { OriginMemory, packOrigin, unpackOrigin } from "../origins/mod.ts";
 import {
   type CrashReport,
+  type EvacuationsReport,
   type OriginAnswer,
   type OriginNotice,
   type OriginQuery,
@@ -48,7 +57,10 @@
   readonly #events: EventLog;
   /** Notices of all servers, for routers that connect later. */
   readonly #notices = new ServerNotices(systemClock);
-  readonly #controller = new AdmissionController(systemClock, this.#notices);
+  readonly #evacuations = new ZoneEvacuations(systemClock);
+  readonly #controller = new AdmissionController(systemClock, this.#notices, {
+    isEmptied: () => this.#isEmptied,
+  });
   /** Beginnings of streams at all servers, for routers to find. */
   readonly #origins = new OriginMemory(systemClock);
   readonly #crashRelay = new CrashRelay(systemClock, {
@@ -78,6 +90,7 @@
       role: "side-process",
       ...{ instance, incarnation, availabilityZone, service },
     };
+    this.#evacuations.onChange((change) => this.#logEvacuations(change));
     this.#listener = new Listener(
       { identity, fleetKey },
       {
@@ -132,11 +145,13 @@
       onOrigin: (notice) => this.#noteOrigin(notice),
       findOrigin: (query) => this.#findOrigin(query),
       onServerNotice: (report) => this.#relayNotice(report, session),
+      onEvacuations: (report) => this.#learnEvacuations(report, session),
       onOtherLimit: (notice) => this.#relayToOthers(notice, session),
     });
     this.#sessions.add(session);
     for (const { start, notice } of this.#notices.current)
       session.sendReport(packNotice(start, notice));
+    this.#sendEvacuations(session);
     session.sendReport(this.#createReport([...this.#controller.recentUsage]));
     this.#events.info("router-connected", { router: instance });
     await session.serve();
@@ -166,6 +181,41 @@
     if (this.#notices.note(start, notice)) this.#relayToOthers(report, from);
   }
 
+  /** Passes news on; a router that knows an older state is told the newest. */
+  #learnEvacuations(report: EvacuationsReport, from: RouterSession): void {
+    const learnt = this.#evacuations.learn(unpackEvacuations(report), "relay");
+    switch (learnt) {
+      case "news":
+        this.#relayToOthers(report, from);
+        this.#controller.admitQueued();
+        return;
+      case "outdated":
+        this.#sendEvacuations(from);
+        return;
+      case "known":
+        return;
+      default:
+        learnt satisfies never;
+    }
+  }
+
+  #sendEvacuations(session: RouterSession): void {
+    const { current } = this.#evacuations;
+    if (current !== null) session.sendReport(packEvacuations(current));
+  }
+
+  get #isEmptied(): boolean {
+    return this.#evacuations.isEmptied(this.#settings.availabilityZone);
+  }
+
+  #logEvacuations({ emptied, returned, source, ageMs }: EvacuationChange) {
+    const fields = { source, ageMs: Math.round(ageMs) };
+    for (const zone of emptied)
+      this.#events.info("zone-emptied", { zone, ...fields });
+    for (const zone of returned)
+      this.#events.info("zone-returned", { zone, ...fields });
+  }
+
   #relayToOthers(report: RelayedReport, from: RouterSession): void {
     for (const session of this.#sessions) {
       if (session !== from) session.sendReport(report);
--- a/src/admission/controller.ts
+++ b/src/admission/controller.ts
@@ -80,6 +80,7 @@
   readonly teamTally = new TeamTally();
   readonly #clock: Clock;
   readonly #notices: ServerNotices;
+  readonly #zone: { isEmptied(): boolean };
   readonly #queue = new AdmissionQueue();
   readonly #runsByRouter = new Map<
     PermitReceiver,
@@ -95,10 +96,18 @@
   readonly #tokenBucket: TokenBucket;
   #requestLimit: RequestLimit;
 
-  /** @param notices what servers have said of themselves */
-  constructor(clock: Clock, notices = new ServerNotices(clock)) {
+  /**
+   * @param notices what servers have said of themselves
+   * @param zone whether the engine's zone is emptied
+   */
+  constructor(
+    clock: Clock,
+    notices = new ServerNotices(clock),
+    zone: { isEmptied(): boolean } = { isEmptied: () => false },
+  ) {
     this.#clock = clock;
     this.#notices = notices;
+    this.#zone = zone;
     this.#tokenBucket = new TokenBucket(clock);
     this.#requestLimit = new RequestLimit(clock);
     this.recentUsage = new RecentUsage(clock);
@@ -279,6 +288,7 @@
 
   #hasCapacity(request: PermitRequest, uncachedTokens: number): boolean {
     if (this.#configuration === null) return false;
+    if (this.#zone.isEmptied()) return false;
     const { server, startedAtMs } = this.#configuration;
     if (this.#notices.isClosed({ id: server, startedAtMs })) return false;
     if (this.#requestLimit.delayMs(1) > 0) return false;
--- a/src/admission/router_session.ts
+++ b/src/admission/router_session.ts
@@ -3,6 +3,7 @@
 import type {
   CrashReport,
   CrashSyncMessage,
+  EvacuationsReport,
   Message,
   OriginAnswer,
   OriginNotice,
@@ -17,7 +18,10 @@
 import type { AdmissionController } from "./controller.ts";
 
 /** What one router tells the others, as it is sent. */
-export type RelayedReport = RequestLimitNotice | ServerNoticeReport;
+export type RelayedReport =
+  | RequestLimitNotice
+  | ServerNoticeReport
+  | EvacuationsReport;
 
 /** Notices of what a router has sent. */
 export interface RouterSessionListener {
@@ -32,6 +36,8 @@
   onOtherLimit(notice: RequestLimitNotice): void;
   /** A server has said that it leaves, or takes no requests for a time. */
   onServerNotice(report: ServerNoticeReport): void;
+  /** The router knows which zones are emptied. */
+  onEvacuations(report: EvacuationsReport): void;
   onOrigin(notice: OriginNotice): void;
   findOrigin(query: OriginQuery): OriginAnswer;
 }
@@ -108,6 +114,9 @@
       case "server-notice":
         this.#listener.onServerNotice(message);
         return;
+      case "evacuations":
+        this.#listener.onEvacuations(message);
+        return;
       case "stream-origin":
         this.#listener.onOrigin(message);
         return;
--- a/src/direct/admission_client.ts
+++ b/src/direct/admission_client.ts
@@ -8,6 +8,7 @@
   CrashReport,
   CrashSyncMessage,
   EngineConfiguration,
+  EvacuationsReport,
   Message,
   OriginAnswer,
   OriginNotice,
@@ -58,6 +59,10 @@
   readonly serverNotices: () => readonly ServerNoticeReport[];
   /** Called when another router has reported what a server has said. */
   readonly onServerNotice: (report: ServerNoticeReport) => void;
+  /** What is known of emptied zones; null if nothing is. */
+  readonly evacuations: () => EvacuationsReport | null;
+  /** Called when another router has reported emptied zones. */
+  readonly onEvacuations: (report: EvacuationsReport) => void;
   /** Called when another router has reported a server's limit. */
   readonly onRequestLimit: (notice: RequestLimitNotice) => void;
   /** Called when the controller tells how a stream began. */
@@ -75,6 +80,7 @@
   | CrashSyncMessage
   | RequestLimitNotice
   | ServerNoticeReport
+  | EvacuationsReport
   | OriginNotice
   | OriginQuery;
 
@@ -211,6 +217,8 @@
     // An admission controller that has restarted knows no limit.
     if (this.#limitNotice !== null) connection.send(this.#limitNotice);
     for (const report of this.#deps.serverNotices()) connection.send(report);
+    const evacuations = this.#deps.evacuations();
+    if (evacuations !== null) connection.send(evacuations);
     // "Gate" in log events means the admission controller.
     this.#deps.events.info("gate-connected", { gate });
     this.#deps.onConnection();
@@ -252,6 +260,9 @@
       case "server-notice":
         this.#deps.onServerNotice(message);
         return;
+      case "evacuations":
+        this.#deps.onEvacuations(message);
+        return;
       case "request-limit":
         this.#deps.onRequestLimit(message);
         return;
--- a/src/direct/admission_clients.ts
+++ b/src/direct/admission_clients.ts
@@ -9,6 +9,7 @@
   type CrashReport,
   type CrashSyncMessage,
   type EngineConfiguration,
+  type EvacuationsReport,
   type OriginAnswer,
   prepareSchemas,
   type RequestLimitNotice,
@@ -54,6 +55,10 @@
   serverNotices(): readonly ServerNoticeReport[];
   /** Called when another router reports what a server has said of itself. */
   onServerNotice(report: ServerNoticeReport): void;
+  /** What is known of emptied zones, for a new admission controller. */
+  evacuations(): EvacuationsReport | null;
+  /** Called when another router reports emptied zones. */
+  onEvacuations(report: EvacuationsReport): void;
   /** Called when another router reports a limit. */
   onRequestLimit(notice: RequestLimitNotice): void;
   /** Called when an admission controller tells how a stream began. */
@@ -162,6 +167,23 @@
       client.send(report);
   }
 
+  /**
+   * Tells the other routers which zones are emptied, and the controllers in some
+   * zones themselves: they issue permits by it.
+   */
+  shareEvacuations(
+    report: EvacuationsReport,
+    zones: ReadonlySet<string>,
+  ): void {
+    const relays = this.#relays.choose().map(({ client }) => client);
+    const inZones = [...this.#entries.values()]
+      .filter(({ servers }) =>
+        [...servers.values()].some((one) => zones.has(one.availabilityZone)),
+      )
+      .map(({ client }) => client);
+    for (const client of new Set([...relays, ...inZones])) client.send(report);
+  }
+
   /** Number of controllers that are connected and have reported. */
   get connections(): number {
     return [...this.#entries.values()].filter(({ client }) => client.connected)
@@ -194,6 +216,8 @@
       onReport: (report) => this.#callbacks.onReport(report),
       serverNotices: () => this.#callbacks.serverNotices(),
       onServerNotice: (report) => this.#callbacks.onServerNotice(report),
+      evacuations: () => this.#callbacks.evacuations(),
+      onEvacuations: (report) => this.#callbacks.onEvacuations(report),
       onRequestLimit: (notice) => this.#callbacks.onRequestLimit(notice),
       onOrigin: (answer) => this.#callbacks.onOrigin(answer),
       onConnection: () => {
--- a/src/direct/admit.ts
+++ b/src/direct/admit.ts
@@ -4,7 +4,12 @@
 import { err, ok, type Result } from "neverthrow";
 import { badRequest, type Failure, notRun } from "../router/failure.ts";
 import { readBody } from "../router/request_body.ts";
-import { destinationOf, type Route, type RouteTable } from "../routing/mod.ts";
+import {
+  destinationOf,
+  type Route,
+  type RouteTable,
+  type ZoneRegions,
+} from "../routing/mod.ts";
 import { costOf, SHORT_RETRY_AFTER_MS } from "../scheduling/mod.ts";
 import type { CallerWaitEstimator } from "./caller_wait_estimator.ts";
 import type { ConfigurationState } from "./configuration_state.ts";
@@ -15,6 +20,7 @@
   readonly configuration: ConfigurationState;
   readonly dialect: Dialect;
   readonly callerWaits: CallerWaitEstimator;
+  readonly zoneRegions: ZoneRegions;
 }
 
 /** Fields of the request's log line, filled in as they become known. */
@@ -46,6 +52,8 @@
   readonly route: Route;
   readonly service: string;
   readonly team: string | null;
+  /** Availability zones in which it may be served; null for any. */
+  readonly zones: ReadonlySet<string> | null;
   readonly terms: RequestTerms;
   readonly body: Buffer;
   /** Monotonic time by which a response meets the route's latency objective. */
@@ -159,7 +167,7 @@
 }
 
 function authorize(
-  { configuration, callerWaits }: AdmitDependencies,
+  { configuration, callerWaits, zoneRegions }: AdmitDependencies,
   route: Route,
   read: AdmitOptions & { readonly terms: RequestTerms; readonly body: Buffer },
 ): Result<AdmittedRequest, Failure> {
@@ -170,6 +178,7 @@
     return err(unavailableHere("keys-too-old"));
   }
   logFields.team = team.value;
+  const regions = configuration.table?.regionsOf(route, team.value) ?? null;
   const destination = destinationOf(route, Math.random());
   if (destination === null)
     return err(unavailableHere("route-without-service"));
@@ -180,6 +189,7 @@
   return ok({
     ...{ route, terms, body, team: team.value, arrivedMs },
     service: destination.service,
+    zones: zoneRegions.zonesIn(regions),
     objectiveAtMs: arrivedMs - elapsedMs + route.objectiveMs,
     deadlineAtMs: arrivedMs + waitMs,
   });
--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -6,12 +6,15 @@
 import { EventLoopProfile } from "../common/event_loop_profile.ts";
 import { sleep } from "../common/promises.ts";
 import {
+  type EvacuationState,
   packNotice,
   ServerDirectory,
   type ServerNotice,
   type ServerStart,
+  unpackEvacuations,
   unpackNotice,
   VersionHistory,
+  ZoneEvacuations,
 } from "../directory/mod.ts";
 import { TeamShares, TeamTally } from "../fairness/mod.ts";
 import * as metrics from "../metrics/mod.ts";
@@ -19,6 +22,7 @@
   compileFirstSchemas,
   type RequestLimitNotice,
 } from "../protocol/mod.ts";
+import { type FleetConfiguration, ZoneRegions } from "../routing/mod.ts";
 import { Scheduler } from "../scheduling/mod.ts";
 import type { Identity } from "../transport/mod.ts";
 import { AdmissionClients } from "./admission_clients.ts";
@@ -35,6 +39,7 @@
 import { MonitoringEndpoint } from "./monitoring_endpoint.ts";
 import { RetryBudget, type RetryLimits } from "./retry_budget.ts";
 import { type DirectRouterSettings, parseAddress } from "./settings.ts";
+import { SharedEvacuations } from "./shared_evacuations.ts";
 import { StreamOrigins } from "./stream_origins.ts";
 
 /**
@@ -68,6 +73,8 @@
   readonly configuration: ConfigurationState;
   /** Known backend servers; their source adds and removes them. */
   readonly directory: ServerDirectory;
+  /** Zones that operators have emptied. */
+  readonly evacuations: ZoneEvacuations;
   readonly #settings: DirectRouterSettings;
   readonly #events: EventLog;
   readonly #clock = systemClock;
@@ -78,6 +85,8 @@
   readonly #pool = new ConnectionPool();
   readonly #crashGuard: CrashGuard;
   readonly #origins: StreamOrigins;
+  readonly #sharedEvacuations: SharedEvacuations;
+  readonly #zoneRegions: ZoneRegions;
   readonly #versions: VersionHistory;
   readonly #callerServer: CallerServer;
   readonly #readyEndpoint: MonitoringEndpoint;
@@ -104,6 +113,8 @@
     this.configuration = new ConfigurationState(clock, events, limits);
     this.directory = new ServerDirectory(clock);
     this.#versions = new VersionHistory(clock);
+    this.evacuations = new ZoneEvacuations(clock);
+    this.#zoneRegions = new ZoneRegions(settings.zoneRegions ?? {});
     const identity = createIdentity(settings);
     this.#admissionClients = new AdmissionClients(
       { clock, events, identity, profile, settings, metrics: this.#metrics },
@@ -129,11 +140,22 @@
           const { start, notice } = unpackNotice(report);
           this.#applyNotice(start, notice, null);
         },
+        evacuations: () => this.#sharedEvacuations.report,
+        onEvacuations: (report) =>
+          this.#sharedEvacuations.learn(unpackEvacuations(report), "relay"),
         onRequestLimit: (notice) => this.#handleRequestLimit(notice),
         onOrigin: (answer) => this.#origins.receive(answer),
         onConnection: (host) => this.#origins.handleHolderChange(host),
       },
     );
+    this.#sharedEvacuations = new SharedEvacuations({
+      ...{ clock, events, evacuations: this.evacuations },
+      boundMs: settings.evacuationMs ?? null,
+      serversIn: (zone) => this.directory.countIn(zone),
+      share: (report, changed) =>
+        this.#admissionClients.shareEvacuations(report, changed),
+      onChange: () => this.#scheduler.applyEvacuations(),
+    });
     this.#origins = new StreamOrigins({
       ...{ clock, events, directory: this.directory },
       versions: this.#versions,
@@ -145,6 +167,7 @@
     });
     this.#scheduler = new Scheduler({
       ...{ clock, availabilityZone, notices: this.directory.notices },
+      evacuations: this.evacuations,
       admissionOf: (server) => this.#admissionClients.of(server),
       shareRequestLimit: (server, observation) =>
         this.#admissionClients.shareRequestLimit(server, observation),
@@ -168,6 +191,7 @@
       teamTally: this.#teamTally,
       teamShares: new TeamShares(clock),
       callerWaits: new CallerWaitEstimator(),
+      zoneRegions: this.#zoneRegions,
     });
     const sources = {
       ready: () => this.#isReady(),
@@ -205,6 +229,7 @@
     this.#sweepTimer = setInterval(() => {
       this.directory.sweep();
       this.#crashGuard.sweep();
+      this.#sharedEvacuations.sweep();
       this.#healthLog.logReadinessChange();
     }, SWEEP_INTERVAL_MS);
     this.#teamLogTimer = setInterval(() => {
@@ -215,8 +240,20 @@
     this.#events.info("start", { instance, entry });
   }
 
-  /** Applies a configuration if it is newer than the one in force. */
-  configure(configuration: Parameters<ConfigurationState["adopt"]>[0]): void {
+  /**
+   * Applies a configuration if it is newer than the one in force; a router that
+   * starts does so once it knows which zones are emptied.
+   */
+  configure(configuration: FleetConfiguration): void {
+    this.#sharedEvacuations.whenKnown(() => this.#configure(configuration));
+  }
+
+  /** Applies which zones are emptied, as the store tells. */
+  learnEvacuations(state: EvacuationState): void {
+    this.#sharedEvacuations.learn(state, "store");
+  }
+
+  #configure(configuration: FleetConfiguration): void {
     const table = this.configuration.adopt(configuration);
     if (table === null) return;
     this.#scheduler.configure(table);
@@ -228,6 +265,7 @@
   reload(settings: DirectRouterSettings): void {
     this.#retryBudget.setLimits(retryLimitsOf(settings.retries));
     this.configuration.setLimits(configurationLimitsOf(settings));
+    this.#zoneRegions.replace(settings.zoneRegions ?? {});
     this.#events.info("reload", { instance: this.#settings.instance });
   }
 
@@ -290,6 +328,13 @@
       "oriole_server_notices",
       () => this.directory.notices.current.length,
     );
+    registry.gauge("oriole_emptied_zones", () => this.#emptiedZones.length);
+    registry.gauge("oriole_emptied_servers", () =>
+      this.#emptiedZones.reduce(
+        (sum, zone) => sum + this.directory.countIn(zone),
+        0,
+      ),
+    );
     registry.gauge("oriole_quarantined", () => this.#crashGuard.suspects);
     registry.gauge("oriole_crash_causes", () => this.#crashGuard.causes);
     registry.gauge(
@@ -364,6 +409,10 @@
     return true;
   }
 
+  get #emptiedZones(): readonly string[] {
+    return this.evacuations.current?.zones ?? [];
+  }
+
   get #currentReadiness(): Readiness {
     if (this.#closing) return "stopping";
     if (this.configuration.table === null) return "no-configuration";
--- a/src/direct/exchange.ts
+++ b/src/direct/exchange.ts
@@ -10,6 +10,7 @@
   notRun,
   outcomeUnknown,
 } from "../router/failure.ts";
+import type { ZoneRegions } from "../routing/mod.ts";
 import {
   costOf,
   type Decision,
@@ -66,6 +67,7 @@
   readonly teamTally: TeamTally;
   readonly teamShares: TeamShares;
   readonly callerWaits: CallerWaitEstimator;
+  readonly zoneRegions: ZoneRegions;
 }
 
 /** How an unread request is refused. */
--- a/src/direct/request_sender.ts
+++ b/src/direct/request_sender.ts
@@ -146,7 +146,7 @@
   async demand(): Promise<Demand> {
     const version = await this.#requiredVersion();
     const { admitted, record } = this.#options;
-    const { route, team, service, terms } = admitted;
+    const { route, team, service, terms, zones } = admitted;
     return {
       requestId: record.logFields.id,
       team: team ?? "",
@@ -159,6 +159,7 @@
       excluded: this.#triedServers,
       avoided: this.#unreachableServers,
       version,
+      zones,
     };
   }
 
--- a/src/direct/settings.ts
+++ b/src/direct/settings.ts
@@ -26,6 +26,13 @@
   readonly configurationMs: number;
   /** Milliseconds within which a lost response of the store is noticed. */
   readonly noticeMs: number;
+  /**
+   * Milliseconds within which an emptied zone gets no more requests; without it,
+   * operators empty no zones.
+   */
+  readonly evacuationMs?: number;
+  /** Region of each availability zone. */
+  readonly zoneRegions?: Readonly<Record<string, string>>;
   readonly retries: {
     /** Retries per request. */
     readonly ratio: number;
@@ -62,6 +69,8 @@
     revocationMs: amount,
     configurationMs: amount,
     noticeMs: amount,
+    evacuationMs: amount,
+    zoneRegions: { type: "object", additionalProperties: text },
     retries: {
       type: "object",
       required: ["ratio", "windowSeconds", "slack"],
--- a/src/directory/server_directory.ts
+++ b/src/directory/server_directory.ts
@@ -72,6 +72,13 @@
     return this.#servers.get(id) ?? null;
   }
 
+  /** Number of known servers in an availability zone. */
+  countIn(availabilityZone: string): number {
+    return [...this.#servers.values()].filter(
+      (server) => server.availabilityZone === availabilityZone,
+    ).length;
+  }
+
   /** Whether the registry answers, as far as is known. */
   get isCurrent(): boolean {
     return !this.#outage;
--- a/src/protocol/admission_messages.ts
+++ b/src/protocol/admission_messages.ts
@@ -106,6 +106,20 @@
   readonly remainingMs: number;
 }
 
+/** Most emptied zones in one report. */
+export const MAX_EVACUATED_ZONES = 256;
+
+/** Reports all emptied zones as of one revision of the store. */
+export interface EvacuationsReport {
+  readonly type: "evacuations";
+  /** How often the store has been restored; 0 if it doesn't state it. */
+  readonly era: number;
+  readonly revision: number;
+  readonly zones: readonly string[];
+  /** Time in ms since this was known to be the newest state. */
+  readonly ageMs: number;
+}
+
 /** A team's recent usage at one server. */
 export type TeamUsage = readonly [team: string, usage: number];
 
--- a/src/protocol/message.ts
+++ b/src/protocol/message.ts
@@ -2,6 +2,7 @@
 
 import type {
   EngineConfiguration,
+  EvacuationsReport,
   FirstEventNotice,
   Permit,
   PermitRelease,
@@ -118,6 +119,7 @@
   | PermitRelease
   | RequestLimitNotice
   | ServerNoticeReport
+  | EvacuationsReport
   | Permit
   | ServerReport
   | OriginNotice
--- a/src/protocol/schema.ts
+++ b/src/protocol/schema.ts
@@ -3,6 +3,7 @@
 import { err, type Result } from "neverthrow";
 import type { Finding } from "../common/finding.ts";
 import { Schema } from "../common/schema.ts";
+import { MAX_EVACUATED_ZONES } from "./admission_messages.ts";
 import type { Message } from "./message.ts";
 
 const text = { type: "string", maxLength: 4096 };
@@ -170,6 +171,10 @@
     ...{ server: text, startedAtMs: count, remainingMs: amount },
     notice: { enum: ["leaving", "paused"] },
   },
+  evacuations: {
+    ...{ era: count, revision: count, ageMs: amount },
+    zones: { type: "array", maxItems: MAX_EVACUATED_ZONES, items: text },
+  },
   "request-limit": {
     server: text,
     startedAtMs: amount,
@@ -233,6 +238,7 @@
   ...(["crash-report", "sound-report", "crash-summary"] as const),
   ...(["crash-digests", "crash-offer", "crash-query"] as const),
   ...(["crash-record", "server-notice", "request-limit"] as const),
+  "evacuations",
 ];
 /** Each schema takes some milliseconds to compile. */
 const PREPARATION_INTERVAL_MS = 200;
--- a/src/routing/fleet_configuration.ts
+++ b/src/routing/fleet_configuration.ts
@@ -28,6 +28,8 @@
 export interface Team {
   readonly name: string;
   readonly apiKeys: readonly string[];
+  /** Regions in which its requests may be served; null for any. */
+  readonly regions: readonly string[] | null;
 }
 
 /** Limits on callers' requests and on their total load. */
--- a/src/routing/mod.ts
+++ b/src/routing/mod.ts
@@ -3,3 +3,4 @@
 export * from "./fleet_configuration.ts";
 export * from "./route.ts";
 export * from "./route_table.ts";
+export * from "./zone_regions.ts";
--- a/src/routing/route.ts
+++ b/src/routing/route.ts
@@ -29,4 +29,6 @@
   /** Largest number of backend servers that a request is sent to. */
   readonly maxAttempts: number;
   readonly requiresKey: boolean;
+  /** Regions in which its requests may be served; null for any. */
+  readonly regions: readonly string[] | null;
 }
--- a/src/routing/route_table.ts
+++ b/src/routing/route_table.ts
@@ -15,6 +15,7 @@
   readonly requiresKeys: boolean;
   readonly #routesByHost = new Map<string, Route[]>();
   readonly #teamsByKey = new Map<string, string>();
+  readonly #regionsByTeam = new Map<string, readonly string[]>();
   readonly #services = new Map<string, Service>();
 
   constructor(configuration: FleetConfiguration) {
@@ -31,7 +32,8 @@
       hostRoutes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length);
     }
     for (const service of services) this.#services.set(service.name, service);
-    for (const { name, apiKeys } of teams ?? []) {
+    for (const { name, apiKeys, regions } of teams ?? []) {
+      if (regions !== null) this.#regionsByTeam.set(name, regions);
       for (const key of apiKeys) this.#teamsByKey.set(key, name);
     }
   }
@@ -47,6 +49,18 @@
     return this.#teamsByKey.get(apiKey) ?? null;
   }
 
+  /**
+   * Regions in which a team's requests on a route may be served: those of both,
+   * if both name some; null for any.
+   */
+  regionsOf(route: Route, team: string | null): readonly string[] | null {
+    const ofTeam =
+      team === null ? null : (this.#regionsByTeam.get(team) ?? null);
+    if (route.regions === null || ofTeam === null)
+      return route.regions ?? ofTeam;
+    return route.regions.filter((region) => ofTeam.includes(region));
+  }
+
   /** Returns the service of that name; null if it isn't configured. */
   service(name: string): Service | null {
     return this.#services.get(name) ?? null;
--- a/src/scheduling/demand.ts
+++ b/src/scheduling/demand.ts
@@ -40,6 +40,8 @@
    * any.
    */
   readonly version: string | null;
+  /** Availability zones in which it may be served; null for any. */
+  readonly zones: ReadonlySet<string> | null;
 }
 
 /** A generated token costs an engine as much as two prompt tokens. */
--- a/src/scheduling/placement.ts
+++ b/src/scheduling/placement.ts
@@ -90,10 +90,16 @@
 /** Whether the request may be sent to the server, by load and health apart. */
 export function isEligible(
   { id, server }: ServerLoad,
-  { excluded, version }: Demand,
+  { excluded, version, zones }: Demand,
 ): boolean {
   const isVersionAllowed = version === null || server.version === version;
-  return server.state === "ready" && !excluded.has(id) && isVersionAllowed;
+  const isZoneAllowed = zones === null || zones.has(server.availabilityZone);
+  return (
+    server.state === "ready" &&
+    !excluded.has(id) &&
+    isVersionAllowed &&
+    isZoneAllowed
+  );
 }
 
 /**
--- a/src/scheduling/refusal.ts
+++ b/src/scheduling/refusal.ts
@@ -7,9 +7,18 @@
 
 import type { Demand } from "./demand.ts";
 
+/** Why no server is left that may get a request. */
+export type Absence =
+  /** No server is ready. */
+  | "no-server"
+  /** None is in the regions in which the request may be served. */
+  | "outside-regions"
+  /** All that may get it are in zones that the operator has emptied. */
+  | "evacuated";
+
 /** Why a request is refused. */
 export type Reason =
-  | "no-server"
+  | Absence
   | "no-room"
   /** No server that may get the request takes any for a time. */
   | "paused"
@@ -42,14 +51,20 @@
 const MAX_RETRY_AFTER_MS = 10_000;
 /** Retry delay of a caller whose service has no server. */
 const NO_SERVER_RETRY_AFTER_MS = 500;
+/**
+ * Retry delay of a caller whose servers are all in emptied zones. Nobody knows when
+ * the operator takes a zone back, but it takes seconds: a caller that came sooner
+ * would spend one of its few retries on the same answer.
+ */
+const EVACUATED_RETRY_AFTER_MS = 2_000;
 /** Retry delay of a caller that this router can't serve but another one may. */
 export const SHORT_RETRY_AFTER_MS = 100;
 
 /** State on the arrival of a request. */
 export interface ArrivalContext {
   readonly nowMs: number;
-  /** Number of the service's servers that are ready. */
-  readonly servers: number;
+  /** Why no server is left that may get it; null if one is. */
+  readonly absence: Absence | null;
   /** Time until one of the servers takes requests; 0 if any does now. */
   readonly pauseMs: number;
   /** Expected wait for the limits that all servers name; 0 without limits. */
@@ -61,14 +76,14 @@
   demand: Demand,
   context: ArrivalContext,
 ): ArrivalDecision {
-  const { nowMs, servers, pauseMs, limitDelayMs } = context;
+  const { nowMs, absence, pauseMs, limitDelayMs } = context;
   const retryAfterMs = retryDelayMs(demand, limitDelayMs);
   const leftMs = demand.deadlineAtMs - nowMs;
   if (leftMs <= 0) return { maxWaitMs: 0, reason: "too-late", retryAfterMs };
   const maxWaitMs = Math.min(demand.objectiveMs * MAX_WAIT_SHARE, leftMs / 2);
-  if (servers === 0) {
-    const delayMs = noServerDelayMs();
-    return { maxWaitMs: 0, reason: "no-server", retryAfterMs: delayMs };
+  if (absence !== null) {
+    const delayMs = absenceDelayMs(absence);
+    return { maxWaitMs: 0, reason: absence, retryAfterMs: delayMs };
   }
   if (pauseMs > 0) {
     const delayMs = pauseDelayMs(pauseMs);
@@ -79,9 +94,12 @@
   return { maxWaitMs, reason: "no-room", retryAfterMs };
 }
 
-/** Delay in milliseconds after which a service may have a server. */
-export function noServerDelayMs(): number {
-  return withJitter(NO_SERVER_RETRY_AFTER_MS);
+/** Delay in milliseconds after which a request may have a server. */
+export function absenceDelayMs(absence: Absence): number {
+  const isEvacuated = absence === "evacuated";
+  return withJitter(
+    isEvacuated ? EVACUATED_RETRY_AFTER_MS : NO_SERVER_RETRY_AFTER_MS,
+  );
 }
 
 /**
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -103,6 +103,12 @@
     this.#handleClosedServers(change.server.service);
   }
 
+  /** Moves requests away from servers in emptied zones, or refuses them. */
+  applyEvacuations(): void {
+    for (const service of this.#requests.services)
+      this.#handleClosedServers(service);
+  }
+
   /** Applies what a server of the service has said of itself. */
   applyNotice(service: string): void {
     this.#handleClosedServers(service);
@@ -121,7 +127,7 @@
       demand,
       {
         nowMs,
-        servers: this.#loads.countReady(demand),
+        absence: this.#loads.absenceFor(demand),
         pauseMs: this.#loads.pauseMs(demand),
         limitDelayMs: this.#limitDelayMs(demand),
       },
@@ -264,7 +270,9 @@
     if (permit === null) load.requestLimit.spend(this.#loads.routerShare);
     let ended = false;
     this.#requests.settle(pending, {
-      ...{ type: "placed", server: load.server, uncachedTokens, source },
+      ...{ type: "placed", server: load.server, uncachedTokens },
+      // Its zone may have been emptied while the request waited for a permit.
+      source: source && this.#loads.open.isEvacuated(source) ? null : source,
       isOpen: () => this.#loads.open.has(load.server),
       noteFirstToken: () => {
         permit?.begun();
@@ -296,6 +304,7 @@
     for (const pending of this.#requests.list()) {
       const { state, demand } = pending;
       if (demand.service !== service) continue;
+      if (this.#refuseWithoutServer(pending)) continue;
       const pauseMs = this.#loads.pauseMs(demand);
       if (pauseMs > 0) this.#refuseAsPaused(pending, pauseMs);
       else if (
@@ -348,9 +357,9 @@
       const lastAtMs = refusal.lastPlacementAtMs(demand, this.#closeAtMs);
       if (nowMs >= refuseAtMs) this.#refuse(pending);
       else if (nowMs >= lastAtMs) this.#refuseAsStopping(pending);
-      else if (demand.version !== null && this.#loads.countReady(demand) === 0)
-        this.#refuseAsGone(pending);
-      else this.#tryOtherEngine(pending, nowMs);
+      // Other requests are refused as soon as their servers change.
+      else if (demand.version === null || !this.#refuseWithoutServer(pending))
+        this.#tryOtherEngine(pending, nowMs);
     }
     // The backoff of a server may have ended.
     this.dispatchAll();
@@ -369,9 +378,19 @@
     this.#settleRefused(pending, "no-room", retryAfterMs);
   }
 
-  /** Refuses a stream once no server of its version is left. */
-  #refuseAsGone(pending: Request): void {
-    this.#settleRefused(pending, "no-server", refusal.noServerDelayMs());
+  /**
+   * Refuses a request, and returns true, if no server is left that may get it.
+   * Without any ready server it waits for one, unless that has to be of a version.
+   */
+  #refuseWithoutServer(pending: Request): boolean {
+    const { demand } = pending;
+    if (!this.#loads.isRestricted(demand)) return false;
+    const absence = this.#loads.absenceFor(demand);
+    const mayWait = absence === "no-server" && demand.version === null;
+    if (absence === null || mayWait) return false;
+    const retryAfterMs = refusal.absenceDelayMs(absence);
+    this.#settleRefused(pending, absence, retryAfterMs);
+    return true;
   }
 
   #refuseAsPaused(pending: Request, pauseMs: number): void {
@@ -418,7 +437,7 @@
   #limitDelayMs(demand: Demand): number {
     const { service } = demand;
     const eligible = this.#loads.eligible(demand);
-    const loads = this.#loads.open.withoutPaused(eligible);
+    const loads = this.#loads.open.withoutClosed(eligible);
     const queue = this.#requests.queueOf(service);
     return limitDelayMs(demand, {
       ...{ loads, share: this.#loads.routerShare, queued: queue.size },
--- a/src/scheduling/server_loads.ts
+++ b/src/scheduling/server_loads.ts
@@ -1,10 +1,11 @@
 /** The servers that one router knows, with the load and health of each. */
 
 import type { Clock } from "../common/clock.ts";
-import type {
-  BackendServer,
-  DirectoryChange,
-  ServerNotices,
+import {
+  type BackendServer,
+  type DirectoryChange,
+  type ServerNotices,
+  ZoneEvacuations,
 } from "../directory/mod.ts";
 import type { Engine, RouteTable } from "../routing/mod.ts";
 import type { Demand } from "./demand.ts";
@@ -12,6 +13,7 @@
 import { OpenServers } from "./open_servers.ts";
 import { isEligible } from "./placement.ts";
 import { PrefillRate } from "./prefill_rate.ts";
+import type * as refusal from "./refusal.ts";
 import { ServerLoad } from "./server_load.ts";
 
 /** Prefill rate per engine if the operators configured no throughput. */
@@ -21,12 +23,15 @@
  * their number.
  */
 const ASSUMED_ROUTERS = 4;
+const NO_SERVERS: ReadonlySet<string> = new Set();
 
 /** Dependencies of `ServerLoads`. */
 export interface ServerLoadsDependencies {
   readonly clock: Clock;
   /** What servers have said of themselves. */
   readonly notices: ServerNotices;
+  /** Which zones are emptied; none if it is left out. */
+  readonly evacuations?: ZoneEvacuations;
   /** Returns the client of a server's admission controller; null for none. */
   readonly admissionOf: (server: BackendServer) => EngineAdmission | null;
 }
@@ -42,7 +47,8 @@
 
   constructor(deps: ServerLoadsDependencies) {
     this.#deps = deps;
-    this.open = new OpenServers(this.#loads, deps.notices);
+    const { notices, evacuations = new ZoneEvacuations(deps.clock) } = deps;
+    this.open = new OpenServers(this.#loads, { notices, evacuations });
   }
 
   /** Applies a new configuration. */
@@ -122,9 +128,9 @@
     );
   }
 
-  /** The servers of a service that aren't paused. */
+  /** The servers of a service that aren't paused or in an emptied zone. */
   openOf(service: string): readonly ServerLoad[] {
-    return this.open.withoutPaused(this.of(service));
+    return this.open.withoutClosed(this.of(service));
   }
 
   /** The servers that a request may be sent to, by load and health apart. */
@@ -132,26 +138,42 @@
     return this.of(demand.service).filter((load) => isEligible(load, demand));
   }
 
-  /** Number of servers that a request may be sent to. */
-  countReady(demand: Demand): number {
-    // Another version may not go on with the stream, now or later.
-    if (demand.version !== null) return this.eligible(demand).length;
-    return this.of(demand.service).filter(isReady).length;
+  /** Whether a request may be without a server while its service has some. */
+  isRestricted({ version, zones }: Demand): boolean {
+    return version !== null || zones !== null || !this.open.isWhole;
+  }
+
+  /** Why no server is left that a request may be sent to; null if one is. */
+  absenceFor(demand: Demand): refusal.Absence | null {
+    const ready = this.#readyFor({ ...demand, zones: null });
+    if (ready.length === 0) return "no-server";
+    const { zones } = demand;
+    const allowed =
+      zones === null
+        ? ready
+        : ready.filter(({ server }) => zones.has(server.availabilityZone));
+    if (allowed.length === 0) return "outside-regions";
+    const inUse = this.open.withoutEvacuated(allowed);
+    return inUse.length === 0 ? "evacuated" : null;
   }
 
   /** Time until a server takes the request; 0 if one does now, or none ever. */
   pauseMs(demand: Demand): number {
-    if (this.open.isUnrestricted) return 0;
-    const eligible = this.eligible(demand);
+    if (this.open.isUnpaused) return 0;
+    const eligible = this.open.withoutEvacuated(this.eligible(demand));
     // One that was sent to every server may be sent to them as a new request.
+    const anew = { ...demand, excluded: NO_SERVERS, version: null };
     return this.open.shortestPauseMs(
-      eligible.length > 0 ? eligible : this.of(demand.service).filter(isReady),
+      eligible.length > 0
+        ? eligible
+        : this.open.withoutEvacuated(this.eligible(anew)),
     );
   }
 
   /** Time until a ready server of the service takes requests; 0 if one does. */
   shortestPauseMs(service: string): number {
-    return this.open.shortestPauseMs(this.of(service).filter(isReady));
+    const ready = this.of(service).filter(isReady);
+    return this.open.shortestPauseMs(this.open.withoutEvacuated(ready));
   }
 
   /** Recent usage by a request's team at all engines but one. */
@@ -163,6 +185,13 @@
     return usage;
   }
 
+  /** Ready servers for a request, or for one that is sent again. */
+  #readyFor(demand: Demand): ServerLoad[] {
+    // Another version may not go on with the stream, now or later.
+    if (demand.version !== null) return this.eligible(demand);
+    return this.of(demand.service).filter(isReady);
+  }
+
   #createLoad(server: BackendServer): ServerLoad {
     const engine = this.#table?.service(server.service)?.engine ?? null;
     const rate = this.#prefillRateOf(server, engine);
--- a/tests/direct/admission_clients_test.ts
+++ b/tests/direct/admission_clients_test.ts
@@ -42,6 +42,8 @@
       onReport: () => {},
       serverNotices: () => [],
       onServerNotice: () => {},
+      evacuations: () => null,
+      onEvacuations: () => {},
       onRequestLimit: () => {},
       onOrigin: () => {},
       onConnection: () => {},
--- a/tests/on_platform/end_to_end_test.ts
+++ b/tests/on_platform/end_to_end_test.ts
@@ -64,6 +64,7 @@
     internalPorts: [admission, admission + 1],
     platform: { address: `127.0.0.1:${portOf(storeServer)}` },
     bounds: DEFAULT_BOUNDS,
+    zones: { a: "north" },
   };
 }
 
--- a/tests/on_platform/program_fixture.ts
+++ b/tests/on_platform/program_fixture.ts
@@ -27,6 +27,9 @@
   ...{ budgetRatio: 0.2, budgetWindowS: 10, retrySlack: 50, configMs: 2_000 },
 };
 
+/** Region of each zone in the settings of all programs. */
+const ZONES = { a: "north", b: "north", c: "south" };
+
 /** A role that has a settings template and a program of its name. */
 export type Role = "router" | "admission";
 
@@ -197,7 +200,7 @@
 
   async #start(role: Role, fields: object): Promise<Program> {
     const settings = await render(role, {
-      ...{ zone: "a", bounds: this.#bounds },
+      ...{ zone: "a", bounds: this.#bounds, zones: ZONES },
       internalPorts: [this.#admissionPort, this.#admissionPort + 1],
       platform: { address: `127.0.0.1:${this.#storeProxy.port}` },
       ...fields,
@@ -231,12 +234,19 @@
 export async function render(role: Role, fields: object): Promise<string> {
   const path = join(ROOT, "deploy", `${role}.json.template`);
   const template = await readFile(path, "utf8");
-  return template.replace(/\{\{([\w.]+)(\|json)?\}\}/g, (_all, name, json) => {
-    const value = name
+  const valueOf = (name: string) =>
+    name
       .split(".")
       .reduce((at: never, key: string) => at[key], fields as never);
-    return json === undefined ? String(value) : JSON.stringify(value);
-  });
+  const section = /\{\{#([\w.]+)\}\}(.*?)\{\{\/\1\}\}/gs;
+  return template
+    .replace(section, (_all, name, text) =>
+      valueOf(name) === undefined ? "" : text,
+    )
+    .replace(/\{\{([\w.]+)(\|json)?\}\}/g, (_all, name, json) => {
+      const value = valueOf(name);
+      return json === undefined ? String(value) : JSON.stringify(value);
+    });
 }
 
 /** Events of one kind that a program has logged. */
--- a/tests/routing/route_table_test.ts
+++ b/tests/routing/route_table_test.ts
@@ -38,7 +38,7 @@
 });
 
 test("an API key maps to its team", () => {
-  const teams = [{ name: "desk", apiKeys: ["k1", "k2"] }];
+  const teams = [{ name: "desk", apiKeys: ["k1", "k2"], regions: null }];
   const table = new RouteTable(createConfiguration({ teams }));
   assert.equal(table.teamOf("k2"), "desk");
   assert.equal(table.teamOf("k3"), null);
--- a/tests/scheduling/demands.ts
+++ b/tests/scheduling/demands.ts
@@ -16,6 +16,7 @@
     excluded: new Set(),
     avoided: new Set(),
     version: null,
+    zones: null,
     ...change,
   };
 }
--- a/tests/support/routes.ts
+++ b/tests/support/routes.ts
@@ -16,6 +16,7 @@
     priority: 1,
     maxAttempts: 2,
     requiresKey: false,
+    regions: null,
     ...overrides,
   };
 }
@@ -31,7 +32,7 @@
     version: 1,
     routes: [createRoute()],
     services: [{ name: "desk", maxConnections: 100, engine: null }],
-    teams: [{ name: "porters", apiKeys: ["key-1"] }],
+    teams: [{ name: "porters", apiKeys: ["key-1"], regions: null }],
     limits: {
       headerBytes: 16_384,
       bodyBytes: 100_000,
