--- a/tests/admission/controller_test.ts
+++ b/tests/admission/controller_test.ts
@@ -9,7 +9,7 @@
   AdmissionController,
   type PermitReceiver,
 } from "../../src/admission/mod.ts";
-import { ServerNotices } from "../../src/directory/mod.ts";
+import { ServerNotices, ZoneEvacuations } from "../../src/directory/mod.ts";
 import type {
   EngineConfiguration,
   PermitRequest,
@@ -423,3 +423,28 @@
     assert.equal(router.permits.length, 1);
   });
 }
+
+test("no permits are issued while the engine's zone is emptied", () => {
+  const clock = createManualClock();
+  const evacuations = new ZoneEvacuations(clock);
+  const controller = new AdmissionController(clock, new ServerNotices(clock), {
+    isEmptied: () => evacuations.isEmptied("a"),
+  });
+  controller.configure(createConfiguration());
+  const learn = (revision: number, ...zones: string[]) =>
+    evacuations.learn({ era: 1, revision, zones, ageMs: 0 }, "relay");
+  const router = createRouter();
+  learn(1, "b");
+  const first = createRequest("t");
+  controller.enqueue(router, first);
+  assert.equal(router.permits.length, 1);
+  controller.finish(router, first.ask, "served");
+  learn(2, "a");
+  controller.enqueue(router, createRequest("t"));
+  clock.advance(BUCKET_REFILL_MS);
+  controller.admitQueued();
+  assert.equal(router.permits.length, 1);
+  learn(3);
+  controller.admitQueued();
+  assert.equal(router.permits.length, 2);
+});
