--- a/src/direct/explanation.ts
+++ b/src/direct/explanation.ts
@@ -29,6 +29,7 @@
       `"${route.pathPrefix}"`,
     teamLine(table, route, request),
     limitsLine(route),
+    ...regionsLines(table, route, request),
     ...route.destinations.flatMap(({ service, weight }) => [
       `Service "${service}" gets ${shareOf(route, weight)} of its requests`,
       ...serverSelectionLines(table, service, { request, servers }),
@@ -61,6 +62,18 @@
   return `${attempts}, ${objectiveMs} ms to be on time, ${timeoutMs} ms in all`;
 }
 
+function regionsLines(
+  table: RouteTable,
+  route: Route,
+  { apiKey }: RequestDescription,
+): string[] {
+  const team = apiKey === null ? null : table.teamOf(apiKey);
+  const regions = table.regionsOf(route, team);
+  if (regions === null) return [];
+  const names = regions.length === 0 ? "no region" : regions.join(", ");
+  return [`It may be served in: ${names}`];
+}
+
 function shareOf({ destinations }: Route, weight: number): string {
   const total = destinations.reduce((sum, one) => sum + one.weight, 0);
   return `${Math.round((weight / total) * 100)}%`;
--- a/tests/on_platform/decoders_test.ts
+++ b/tests/on_platform/decoders_test.ts
@@ -160,6 +160,24 @@
   assert.equal(decoded.services[1]?.engine, null);
 });
 
+test("regions of routes and teams are decoded; none, or an empty list, is any", () => {
+  const regionsOf = (allowedRegions?: unknown) => {
+    const change = allowedRegions === undefined ? {} : { allowedRegions };
+    return configurationDecoder
+      .decode({
+        ...CONFIGURATION,
+        routes: CONFIGURATION.routes.map((one) => ({ ...one, ...change })),
+        tenants: CONFIGURATION.tenants.map((one) => ({ ...one, ...change })),
+      })
+      .map(({ routes, teams }) => [routes[0]?.regions, teams?.[0]?.regions]);
+  };
+  assert.deepEqual(regionsOf()._unsafeUnwrap(), [null, null]);
+  assert.deepEqual(regionsOf([])._unsafeUnwrap(), [null, null]);
+  const north = ["north"];
+  assert.deepEqual(regionsOf(north)._unsafeUnwrap(), [north, north]);
+  assert.ok(regionsOf("north").isErr());
+});
+
 test("the cache copy rate follows from link bandwidth and token size", () => {
   const linked = { slots: 64, kvCapacity: 1000, kvTokenBytes: 20_000 };
   const engine = { ...linked, linkMbps: 400_000 };
