--- a/bench/crash_report_peer.ts
+++ b/bench/crash_report_peer.ts
@@ -54,7 +54,12 @@
   const clock = systemClock;
   const metrics = new MetricsRegistry();
   const engine = { slots: 64, cacheTokens: 100_000, copiedTokensPerMs: 0 };
-  const service = { name: "desk", maxConnections: 100, engine };
+  const service = {
+    name: "desk",
+    maxConnections: 100,
+    engine,
+    coldStart: null,
+  };
   const limits = {
     ...{ headerBytes: 1, bodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
     tokensPerSecond: 1,
@@ -93,6 +98,7 @@
     clients.of({
       ...{ id: host, host, port: 1, service: "desk", availabilityZone: "a" },
       ...{ version: "v1", slots: 64, state: "ready", startedAtMs: 0 },
+      coldForMs: 0,
     });
   return () => ({
     sessions: clients.connections,
--- a/src/admission/admission_process.ts
+++ b/src/admission/admission_process.ts
@@ -24,10 +24,13 @@
   Listener,
   Traffic,
 } from "../transport/mod.ts";
+import type { ColdChange } from "./cold_guard.ts";
 import { AdmissionController } from "./controller.ts";
 import { CrashRelay } from "./crash_relay.ts";
+import { EngineMonitor, type EngineProbe } from "./engine_monitor.ts";
 import type { EngineState } from "./engine_state.ts";
 import { ReportThrottle } from "./report_throttle.ts";
+import { RouterCount } from "./router_count.ts";
 import { type RelayedReport, RouterSession } from "./router_session.ts";
 import type { AdmissionSettings } from "./settings.ts";
 
@@ -48,7 +51,9 @@
   readonly #events: EventLog;
   /** Notices of all servers, for routers that connect later. */
   readonly #notices = new ServerNotices(systemClock);
-  readonly #controller = new AdmissionController(systemClock, this.#notices);
+  readonly #controller: AdmissionController;
+  readonly #monitor: EngineMonitor | null;
+  readonly #routers = new RouterCount(systemClock);
   /** Beginnings of streams at all servers, for routers to find. */
   readonly #origins = new OriginMemory(systemClock);
   readonly #crashRelay = new CrashRelay(systemClock, {
@@ -67,9 +72,23 @@
 
   constructor(
     settings: AdmissionSettings,
-    { events }: { readonly events: EventLog },
+    {
+      events,
+      probeEngine,
+    }: { readonly events: EventLog; readonly probeEngine?: EngineProbe },
   ) {
     const { instance, availabilityZone, service, fleetKey } = settings;
+    this.#controller = new AdmissionController(
+      systemClock,
+      this.#notices,
+      settings.coldStart ?? null,
+    );
+    const { coldGuard } = this.#controller;
+    const probe = probeEngine;
+    this.#monitor =
+      probe === undefined
+        ? null
+        : new EngineMonitor(coldGuard, { clock: systemClock, probe });
     this.#settings = settings;
     this.#events = events;
     const incarnation = randomUUID();
@@ -95,9 +114,12 @@
     const { instance, service, listen } = this.#settings;
     await this.#listener.listen(listen);
     this.#scheduleReport();
+    this.#monitor?.start();
     this.#stopPreparing = prepareSchemas();
     this.#teamLogTimer = setInterval(() => {
       this.#logTeams();
+      // Routers that were lost long ago aren't expected back.
+      this.#setConnectedShare();
       this.#crashRelay.sweep();
     }, TEAM_LOG_INTERVAL_MS);
     this.#events.info("start", { instance, service });
@@ -114,6 +136,7 @@
   async close(): Promise<void> {
     if (this.#reportTimer !== null) clearTimeout(this.#reportTimer);
     this.#stopAdmitting();
+    this.#monitor?.close();
     this.#crashRelay.close();
     this.#stopPreparing?.();
     if (this.#teamLogTimer !== null) clearInterval(this.#teamLogTimer);
@@ -129,22 +152,36 @@
       onCrashSync: (message) => this.#crashRelay.compare(message),
       onAsk: () => this.#admitRegularly(),
       onLimitChange: () => this.#logLimit(instance),
+      onRouterCount: (routers) => this.#noteRouters(routers),
       onOrigin: (notice) => this.#noteOrigin(notice),
       findOrigin: (query) => this.#findOrigin(query),
       onServerNotice: (report) => this.#relayNotice(report, session),
       onOtherLimit: (notice) => this.#relayToOthers(notice, session),
     });
     this.#sessions.add(session);
+    this.#routers.add(instance);
+    this.#setConnectedShare();
     for (const { start, notice } of this.#notices.current)
       session.sendReport(packNotice(start, notice));
     session.sendReport(this.#createReport([...this.#controller.recentUsage]));
     this.#events.info("router-connected", { router: instance });
     await session.serve();
     this.#sessions.delete(session);
+    this.#routers.remove(instance);
+    this.#setConnectedShare();
     const reason = connection.closeReason;
     this.#events.warn("router-lost", { router: instance, reason });
   }
 
+  #noteRouters(routers: number): void {
+    this.#routers.noteHint(routers);
+    this.#setConnectedShare();
+  }
+
+  #setConnectedShare(): void {
+    this.#controller.setConnectedShare(this.#routers.connectedShare);
+  }
+
   #noteOrigin(notice: OriginNotice): void {
     const record = unpackOrigin(notice);
     if (record !== null) this.#origins.note(notice.request, record);
@@ -200,6 +237,8 @@
 
   #reportWhenDue(): void {
     this.#logEngineStateChange();
+    const change = this.#controller.coldGuard.takeChange();
+    if (change !== null) this.#logColdChange(change);
     const routers = this.#sessions.size;
     if (routers > 0 && this.#reportThrottle.tryAcquire({ routers }))
       this.#sendReport();
@@ -217,6 +256,16 @@
     this.#events.info("engine", { state, before, ...load });
   }
 
+  #logColdChange({ isCold, source, remainingMs, held }: ColdChange): void {
+    const { asks } = this.#controller.load;
+    const answerAgeMs = Math.round(this.#monitor?.answerAgeMs ?? -1);
+    const known = { source, answerAgeMs, asks };
+    if (isCold) {
+      const forMs = Math.round(remainingMs);
+      this.#events.info("engine-cold", { forMs, ...known });
+    } else this.#events.info("engine-warm", { held, ...known });
+  }
+
   /** Logs the largest teams of an interval in which requests were withdrawn. */
   #logTeams(): void {
     const { teamTally, recentUsage } = this.#controller;
--- a/src/admission/controller.ts
+++ b/src/admission/controller.ts
@@ -11,6 +11,7 @@
 import { ServerNotices } from "../directory/mod.ts";
 import { RecentUsage, TeamTally } from "../fairness/mod.ts";
 import type {
+  ColdPace,
   EngineConfiguration,
   PermitOutcome,
   PermitRequest,
@@ -34,6 +35,7 @@
   type PermitReceiver,
   type QueuedRequest,
 } from "./admission_queue.ts";
+import { type ColdBounds, ColdGuard } from "./cold_guard.ts";
 import { classifyEngine, type EngineState } from "./engine_state.ts";
 import { TokenBucket } from "./token_bucket.ts";
 
@@ -64,6 +66,8 @@
   readonly requestsPerS: number | null;
   /** Requests that the limit allows at once; 0 without a limit. */
   readonly freeSlots: number;
+  /** Absent unless the engine is cold or requests are held back for that. */
+  readonly coldPace?: ColdPace;
   /** Time after which an unused part of a prompt is evicted; null if none was. */
   readonly cacheLifetimeMs: number | null;
 }
@@ -78,6 +82,8 @@
   readonly recentUsage: RecentUsage;
   /** Requests that were permitted or withdrawn. */
   readonly teamTally = new TeamTally();
+  /** Bounds permits while the engine is or may be cold. */
+  readonly coldGuard: ColdGuard;
   readonly #clock: Clock;
   readonly #notices: ServerNotices;
   readonly #queue = new AdmissionQueue();
@@ -94,11 +100,20 @@
   #health = new ServerHealth();
   readonly #tokenBucket: TokenBucket;
   #requestLimit: RequestLimit;
+  #connectedShare = 1;
 
-  /** @param notices what servers have said of themselves */
-  constructor(clock: Clock, notices = new ServerNotices(clock)) {
+  /**
+   * @param notices what servers have said of themselves
+   * @param coldBounds what a cold engine may get in a second; null for no bound
+   */
+  constructor(
+    clock: Clock,
+    notices = new ServerNotices(clock),
+    coldBounds: ColdBounds | null = null,
+  ) {
     this.#clock = clock;
     this.#notices = notices;
+    this.coldGuard = new ColdGuard(clock, coldBounds);
     this.#tokenBucket = new TokenBucket(clock);
     this.#requestLimit = new RequestLimit(clock);
     this.recentUsage = new RecentUsage(clock);
@@ -111,15 +126,31 @@
     for (const { request } of this.#queue)
       askedTokens += this.#countUncachedTokens(request);
     const failureShare = this.#health.failureShare(this.#clock.monotonicMs());
-    const { requestsPerS } = this.#requestLimit;
     return {
       ...this.#inFlight.work,
       ...{ asks: this.#queue.size, askedTokens, tokensPerMs, failureShare },
-      ...{ requestsPerS, freeSlots: this.#requestLimit.freeSlots(1) },
+      ...this.#pacing,
       cacheLifetimeMs: this.#predictedCache.lifetimeMs,
     };
   }
 
+  /** The limits in force, and the requests that they allow at once. */
+  get #pacing(): Pick<EngineLoad, "requestsPerS" | "freeSlots" | "coldPace"> {
+    const { requestsPerS } = this.#requestLimit;
+    const share = this.#connectedShare;
+    const coldPace = this.coldGuard.paceOf(share, this.hasQueued);
+    const named = this.#requestLimit.freeSlots(1);
+    if (coldPace === undefined) return { requestsPerS, freeSlots: named };
+    const paced = this.coldGuard.freeSlots(share) ?? 0;
+    const freeSlots = requestsPerS === null ? paced : Math.min(named, paced);
+    return { requestsPerS, freeSlots, coldPace };
+  }
+
+  /** Sets the part of all routers that asks for permits here, 0 to 1. */
+  setConnectedShare(share: number): void {
+    this.#connectedShare = share;
+  }
+
   /** Whether requests wait for permits. */
   get hasQueued(): boolean {
     return this.#queue.size > 0;
@@ -142,6 +173,9 @@
     const previous = this.#configuration;
     if (previous !== null && isOlder(configuration, previous)) return;
     this.#configuration = configuration;
+    this.coldGuard.configure(configuration.coldTerms);
+    if (previous !== null && !isSameServerStart(configuration, previous))
+      this.coldGuard.noteStart("engine-started");
     // A restarted server has an empty cache.
     if (previous === null || !isSameServerStart(configuration, previous)) {
       this.#predictedCache = new PredictedCache(configuration.cacheTokens);
@@ -263,6 +297,7 @@
       this.#count(next, "permitted");
       this.#tokenBucket.spend(uncachedTokens);
       this.#requestLimit.spend(1);
+      this.coldGuard.spend(this.#connectedShare);
       this.#startRun(next.router, next.request, uncachedTokens);
       next.router.permit(next.request.ask, uncachedTokens);
     }
@@ -282,6 +317,7 @@
     const { server, startedAtMs } = this.#configuration;
     if (this.#notices.isClosed({ id: server, startedAtMs })) return false;
     if (this.#requestLimit.delayMs(1) > 0) return false;
+    if (!this.coldGuard.allows(this.#connectedShare, request)) return false;
     if (
       !this.#tokenBucket.hasTokens &&
       !this.#isLightlyLoaded(this.#configuration)
--- a/src/admission/router_session.ts
+++ b/src/admission/router_session.ts
@@ -28,6 +28,8 @@
   onAsk(): void;
   /** The engine's limit on requests has changed. */
   onLimitChange(): void;
+  /** The router knows of a number of routers. */
+  onRouterCount(routers: number): void;
   /** A server without an admission controller has named a limit. */
   onOtherLimit(notice: RequestLimitNotice): void;
   /** A server has said that it leaves, or takes no requests for a time. */
@@ -81,6 +83,8 @@
   #handle(message: Message): void {
     switch (message.type) {
       case "engine-terms":
+        if (message.coldTerms !== undefined)
+          this.#listener.onRouterCount(message.coldTerms.routers);
         this.#controller.configure(message);
         return;
       case "ask":
--- a/src/admission/settings.ts
+++ b/src/admission/settings.ts
@@ -1,6 +1,7 @@
 /** Settings of the admission controller of one engine. */
 
 import { Schema } from "../common/schema.ts";
+import type { ColdBounds } from "./cold_guard.ts";
 
 /** Settings that the process reads at its start. */
 export interface AdmissionSettings {
@@ -13,6 +14,8 @@
   readonly listen: { readonly host: string; readonly port: number };
   /** Shared by all processes of the fleet. */
   readonly fleetKey: string;
+  /** Absent where no bound holds for servers that are cold. */
+  readonly coldStart?: ColdBounds;
 }
 
 const text = { type: "string", minLength: 1 };
@@ -30,6 +33,14 @@
     service: text,
     engine: text,
     fleetKey: { type: "string", minLength: 16 },
+    coldStart: {
+      type: "object",
+      required: ["overshoot", "slack"],
+      properties: {
+        overshoot: { type: "number", minimum: 0 },
+        slack: { type: "number", minimum: 0 },
+      },
+    },
     listen: {
       type: "object",
       required: ["host", "port"],
--- a/src/direct/admission_clients.ts
+++ b/src/direct/admission_clients.ts
@@ -16,7 +16,11 @@
   type SoundReport,
 } from "../protocol/mod.ts";
 import type { RouteTable } from "../routing/mod.ts";
-import type { EngineAdmission, LimitObservation } from "../scheduling/mod.ts";
+import type {
+  ColdTerms,
+  EngineAdmission,
+  LimitObservation,
+} from "../scheduling/mod.ts";
 import {
   type ConnectionOwner,
   type Identity,
@@ -42,6 +46,8 @@
   table(): RouteTable | null;
   /** Prompt tokens that an engine of the service should read per ms. */
   expectedTokensPerMs(service: string): number;
+  /** What is known of a server that may be cold; null if it never is. */
+  coldTerms?(server: BackendServer): ColdTerms | null;
   /** Called on a new report and on a lost connection. */
   onChange(): void;
   /** Message that begins a comparison of crash evidence. */
@@ -124,6 +130,11 @@
     this.#entries.delete(server.host);
   }
 
+  /** Sends the current engine configuration to one admission controller. */
+  sendEngineConfigurationTo(host: string): void {
+    this.#entries.get(host)?.client.sendEngineConfiguration();
+  }
+
   /** Sends the current engine configuration to every admission controller. */
   sendEngineConfiguration(): void {
     for (const { client } of this.#entries.values())
@@ -222,6 +233,7 @@
     if (server === null || table === null) return null;
     const engine = table.service(server.service)?.engine;
     if (!engine) return null;
+    const coldTerms = this.#callbacks.coldTerms?.(server) ?? null;
     return {
       type: "engine-terms",
       version: table.version,
@@ -230,6 +242,7 @@
       slots: engine.slots,
       cacheTokens: engine.cacheTokens,
       tokensPerMs: this.#callbacks.expectedTokensPerMs(server.service),
+      ...(coldTerms === null ? {} : { coldTerms }),
     };
   }
 }
--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -6,6 +6,7 @@
 import { EventLoopProfile } from "../common/event_loop_profile.ts";
 import { sleep } from "../common/promises.ts";
 import {
+  type DirectoryChange,
   packNotice,
   ServerDirectory,
   type ServerNotice,
@@ -111,6 +112,7 @@
         table: () => this.configuration.table,
         expectedTokensPerMs: (service) =>
           this.#scheduler.expectedTokensPerMs(service),
+        coldTerms: (server) => this.#scheduler.cold.termsOf(server),
         onChange: () => this.#handleAdmissionChange(),
         crashSummary: () => this.#crashGuard.summary,
         onCrashSync: (message) =>
@@ -224,6 +226,19 @@
     this.#callerServer.setLimits(table.limits);
   }
 
+  /**
+   * Marks the servers of an availability zone as cold, for instance when the
+   * zone takes requests again after a time without any.
+   */
+  markZoneCold(availabilityZone: string): void {
+    const servers = this.#scheduler.cold.markZone(availabilityZone);
+    if (servers.length === 0) return;
+    const fields = { zone: availabilityZone, servers: servers.length };
+    this.#events.info("zone-cold", fields);
+    for (const { host } of servers)
+      this.#admissionClients.sendEngineConfigurationTo(host);
+  }
+
   /** Applies the settings that can change at run time. */
   reload(settings: DirectRouterSettings): void {
     this.#retryBudget.setLimits(retryLimitsOf(settings.retries));
@@ -286,6 +301,15 @@
       "oriole_limited_servers",
       () => this.#scheduler.limitedServers,
     );
+    registry.gauge(
+      "oriole_cold_waiting_requests",
+      () => this.#scheduler.cold.waiting,
+    );
+    registry.gauges(
+      "oriole_cold_servers",
+      "zone",
+      () => this.#scheduler.cold.countByZone,
+    );
     registry.gauge(
       "oriole_server_notices",
       () => this.directory.notices.current.length,
@@ -310,6 +334,7 @@
       this.#events.info("server", fields);
       this.#versions.apply(change);
       this.#scheduler.apply(change);
+      this.#handleColdEntry(change);
       this.#crashGuard.handleChange(change);
       if (change.type !== "left") return;
       this.#pool.closeIdle(change.server);
@@ -317,6 +342,15 @@
     });
   }
 
+  /** Tells the admission controller of a server whose entry says it is cold. */
+  #handleColdEntry({ type, server }: DirectoryChange): void {
+    const { id, host, availabilityZone: zone, coldForMs } = server;
+    if (type === "left" || coldForMs <= 0) return;
+    if (this.#scheduler.cold.termsOf(server) === null) return;
+    this.#events.info("server-cold", { server: id, zone, coldForMs });
+    this.#admissionClients.sendEngineConfigurationTo(host);
+  }
+
   /** Logs the largest teams of an interval in which requests were refused. */
   #logTeams(): void {
     const tally = this.#teamTally;
--- a/src/directory/backend_server.ts
+++ b/src/directory/backend_server.ts
@@ -17,6 +17,8 @@
   readonly state: ServerState;
   /** Start time in Unix milliseconds; 0 if its entry has none. */
   readonly startedAtMs: number;
+  /** Rest of the time for which it is cold, by its entry when it was read. */
+  readonly coldForMs: number;
 }
 
 /** Key of one start of a server. */
--- a/src/metrics/registry.ts
+++ b/src/metrics/registry.ts
@@ -5,6 +5,9 @@
 /** Labels of one series. */
 export type Labels = Readonly<Record<string, string>>;
 
+/** Values of a gauge, by its label. */
+export type LabelledValues = ReadonlyMap<string, number>;
+
 /** Upper limit of a recorded duration: 10 minutes, in microseconds. */
 const MAX_DURATION_US = 600_000_000;
 const PERCENTILES = [50, 95, 99] as const;
@@ -13,6 +16,10 @@
 export class MetricsRegistry {
   readonly #counters = new Map<string, Map<string, number>>();
   readonly #gauges = new Map<string, () => number>();
+  readonly #labelledGauges = new Map<
+    string,
+    { readonly label: string; readonly read: () => LabelledValues }
+  >();
   readonly #histograms = new Map<string, Map<string, hdr.Histogram>>();
 
   /** Adds to a counter. */
@@ -32,6 +39,11 @@
     this.#gauges.set(name, read);
   }
 
+  /** Registers a gauge with one label; `read` returns the values by label. */
+  gauges(name: string, label: string, read: () => LabelledValues): void {
+    this.#labelledGauges.set(name, { label, read });
+  }
+
   /** Records a duration in milliseconds; it is exported in seconds. */
   observe(name: string, ms: number, labels: Labels = {}): void {
     const series = getOrCreateSeries(this.#histograms, name);
@@ -57,6 +69,11 @@
     for (const [name, read] of this.#gauges) {
       lines.push(`# TYPE ${name} gauge`, `${name} ${read()}`);
     }
+    for (const [name, { label, read }] of this.#labelledGauges) {
+      lines.push(`# TYPE ${name} gauge`);
+      for (const [key, value] of read())
+        lines.push(`${name}${formatLabels({ [label]: key })} ${value}`);
+    }
     for (const [name, series] of this.#histograms) {
       lines.push(`# TYPE ${name} summary`);
       for (const [key, histogram] of series) {
--- a/src/protocol/admission_messages.ts
+++ b/src/protocol/admission_messages.ts
@@ -17,6 +17,31 @@
   readonly cacheTokens: number;
   /** Expected prefill rate. */
   readonly tokensPerMs: number;
+  /** Absent for a service whose servers are never cold. */
+  readonly coldTerms?: ColdTerms;
+}
+
+/** What a router knows of a server that is cold for a time after its start. */
+export interface ColdTerms {
+  /** Time for which it is cold after a start. */
+  readonly durationMs: number;
+  /** Requests per second from all routers that it tolerates while cold. */
+  readonly requestsPerS: number;
+  /** Time for which it is still cold, as far as the router knows. */
+  readonly remainingMs: number;
+  /** Routers of the fleet that the router knows of; 0 if it knows of none. */
+  readonly routers: number;
+}
+
+/** Pace at which permits for a server are issued. */
+export interface ColdPace {
+  /** Requests per second of all routers. */
+  readonly requestsPerS: number;
+  /**
+   * Time for which the server is cold; 0 while it counts as warm and its
+   * bound on requests in one second holds some back.
+   */
+  readonly remainingMs: number;
 }
 
 /** Requests a permit to send one request to the engine. */
@@ -130,6 +155,8 @@
   readonly requestsPerS: number | null;
   /** Requests that the limit allows at once; 0 without a limit. */
   readonly freeSlots: number;
+  /** Absent unless the server is cold or its requests are held back for that. */
+  readonly coldPace?: ColdPace;
   /** Time after which an unused part of a prompt is evicted; null if none was. */
   readonly cacheLifetimeMs: number | null;
   /** Routers that are connected. */
--- a/src/protocol/field_numbers.ts
+++ b/src/protocol/field_numbers.ts
@@ -30,6 +30,7 @@
   ...["ageMs", "requests", "suspects", "requestsPerS", "freeSlots"],
   ...["request", "softwareVersion", "cacheLifetimeMs", "notice"],
   ...["cleared", "digest", "digests", "crashes"],
+  ...["coldTerms", "coldPace", "durationMs"],
 ] as const;
 
 /** Number of each field name. */
--- a/src/protocol/schema.ts
+++ b/src/protocol/schema.ts
@@ -13,6 +13,8 @@
 const bytes = { bytes: true };
 const header = tuple(text, text);
 const headers = { type: "array", maxItems: 200, items: header };
+/** Sent only for services whose servers are cold after a start. */
+const OPTIONAL_FIELDS = new Set(["coldTerms", "coldPace"]);
 const attempt = text;
 
 const teamDemand = tuple(text, count, amount);
@@ -152,6 +154,10 @@
     slots: amount,
     cacheTokens: amount,
     tokensPerMs: amount,
+    coldTerms: object({
+      ...{ durationMs: amount, requestsPerS: amount, remainingMs: amount },
+      routers: count,
+    }),
   },
   ask: {
     ask: count,
@@ -190,6 +196,7 @@
     failureShare: amount,
     requestsPerS: optionalAmount,
     freeSlots: count,
+    coldPace: object({ requestsPerS: amount, remainingMs: amount }),
     cacheLifetimeMs: optionalAmount,
     routers: count,
     teams,
@@ -204,7 +211,9 @@
 function object(properties: Record<string, object>): object {
   return {
     type: "object",
-    required: Object.keys(properties),
+    required: Object.keys(properties).filter(
+      (name) => !OPTIONAL_FIELDS.has(name),
+    ),
     additionalProperties: false,
     properties,
   };
--- a/src/routing/fleet_configuration.ts
+++ b/src/routing/fleet_configuration.ts
@@ -15,6 +15,14 @@
   readonly copiedTokensPerMs: number;
 }
 
+/** How long a service's servers are slow after a start, and what they take. */
+export interface ColdStart {
+  /** Time after its start for which a server is cold. */
+  readonly durationMs: number;
+  /** Requests per second from all routers that a cold server tolerates. */
+  readonly requestsPerS: number;
+}
+
 /** A group of identical backend servers. */
 export interface Service {
   readonly name: string;
@@ -22,6 +30,8 @@
   readonly maxConnections: number;
   /** Null for a service that serves no model. */
   readonly engine: Engine | null;
+  /** Null if its servers take any number of requests from their start on. */
+  readonly coldStart: ColdStart | null;
 }
 
 /** A team and the API keys of its callers. */
--- a/src/scheduling/engine_admission.ts
+++ b/src/scheduling/engine_admission.ts
@@ -23,6 +23,13 @@
   readonly requestsPerS: number | null;
   /** Requests that the limit allows at once; 0 without a limit. */
   readonly freeSlots: number;
+  /** Absent unless the engine is cold or requests are held back for that. */
+  readonly coldPace?: {
+    /** Requests per second of all routers. */
+    readonly requestsPerS: number;
+    /** Time for which it was cold at the report; 0 for a warm one. */
+    readonly remainingMs: number;
+  };
   /**
    * Time after which a part of a prompt that no request uses is evicted from the
    * engine's cache; null if none was evicted.
--- a/src/scheduling/limit_delay.ts
+++ b/src/scheduling/limit_delay.ts
@@ -40,7 +40,8 @@
   let before = queued;
   for (const load of loads) {
     const capacity = load.limitedCapacity(share);
-    if (capacity === null) return 0;
+    // It will be more in a moment, so requests may wait for that.
+    if (capacity === null || capacity.isProvisional) return 0;
     requestsPerS += capacity.requestsPerS;
     freeSlots += capacity.freeSlots;
     before += capacity.asks;
--- a/src/scheduling/mod.ts
+++ b/src/scheduling/mod.ts
@@ -3,6 +3,7 @@
  * capacity, and refuses those that can't be served in time.
  */
 
+export type { ColdLoads, ColdTerms } from "./cold_loads.ts";
 export type { Decision, Placement } from "./decision.ts";
 export * from "./demand.ts";
 export * from "./engine_admission.ts";
--- a/src/scheduling/request_limit.ts
+++ b/src/scheduling/request_limit.ts
@@ -34,13 +34,19 @@
  */
 export class RequestLimit {
   readonly #clock: Clock;
+  readonly #slotLifetimeMs: number;
   #requestsPerS: number | null = null;
   #namedAtMs = Number.NEGATIVE_INFINITY;
   /** Null until the first slot of a limit is set. */
   #nextSlotAtMs: number | null = null;
 
-  constructor(clock: Clock) {
+  /** @param slotLifetimeMs time for which an unused slot can still be used */
+  constructor(
+    clock: Clock,
+    { slotLifetimeMs = SLOT_LIFETIME_MS }: { slotLifetimeMs?: number } = {},
+  ) {
     this.#clock = clock;
+    this.#slotLifetimeMs = slotLifetimeMs;
   }
 
   /** The limit in force; null if there is none. */
@@ -102,7 +108,7 @@
     let nextAtMs = this.#nextSlotAtMs ?? nowMs + Math.random() * interval;
     // The limit or the share may have grown since the slot was set.
     nextAtMs = Math.min(nextAtMs, nowMs + interval);
-    const lapsedMs = nowMs - SLOT_LIFETIME_MS - nextAtMs;
+    const lapsedMs = nowMs - this.#slotLifetimeMs - nextAtMs;
     if (lapsedMs > 0) nextAtMs += Math.ceil(lapsedMs / interval) * interval;
     this.#nextSlotAtMs = nextAtMs;
     return nextAtMs;
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -3,6 +3,7 @@
 import type { Clock } from "../common/clock.ts";
 import type { BackendServer, DirectoryChange } from "../directory/mod.ts";
 import type { RouteTable } from "../routing/mod.ts";
+import type { ColdLoads } from "./cold_loads.ts";
 import { type Decision, refused, refusedAsStopping } from "./decision.ts";
 import type { Demand, Prompt } from "./demand.ts";
 import type { EngineAdmission, Permit } from "./engine_admission.ts";
@@ -87,6 +88,11 @@
     return this.#loads.routers;
   }
 
+  /** What is known of cold servers. */
+  get cold(): ColdLoads {
+    return this.#loads.cold;
+  }
+
   /** Number of servers that name a limit on requests. */
   get limitedServers(): number {
     return this.#loads.limited;
@@ -261,7 +267,7 @@
     const { prompt } = pending.demand;
     const nowMs = this.#nowMs;
     const run = load.begin(prompt, { uncachedTokens, nowMs });
-    if (permit === null) load.requestLimit.spend(this.#loads.routerShare);
+    if (permit === null) load.spendSlot(this.#loads.routerShare);
     let ended = false;
     this.#requests.settle(pending, {
       ...{ type: "placed", server: load.server, uncachedTokens, source },
--- a/src/scheduling/server_load.ts
+++ b/src/scheduling/server_load.ts
@@ -3,6 +3,7 @@
 import type { Clock } from "../common/clock.ts";
 import type { BackendServer } from "../directory/mod.ts";
 import type { Engine } from "../routing/mod.ts";
+import type { ColdShare } from "./cold_share.ts";
 import { type Prompt, privateTokensOf } from "./demand.ts";
 import type { EngineAdmission, EngineReport } from "./engine_admission.ts";
 import { PredictedCache } from "./predicted_cache.ts";
@@ -25,6 +26,8 @@
   readonly freeSlots: number;
   /** Requests that wait for a permit, of all routers. */
   readonly asks: number;
+  /** Whether it holds until the admission controller is connected again. */
+  readonly isProvisional: boolean;
 }
 
 /** Load, expected cache contents and health of one server. */
@@ -38,6 +41,8 @@
   readonly admission: EngineAdmission | null;
   /** The limit that this router knows of; without permits, it is shared. */
   readonly requestLimit: RequestLimit;
+  /** What may be sent without permits if it may be cold; null for any number. */
+  readonly #coldShare: ColdShare | null;
   readonly #inFlight = new RequestsInFlight();
 
   constructor(
@@ -47,6 +52,7 @@
       readonly clock: Clock;
       readonly rate: PrefillRate;
       readonly admission: EngineAdmission | null;
+      readonly coldShare?: ColdShare | null;
     },
   ) {
     this.server = server;
@@ -54,6 +60,7 @@
     this.prefillRate = deps.rate;
     this.admission = deps.admission;
     this.requestLimit = new RequestLimit(deps.clock);
+    this.#coldShare = deps.coldShare ?? null;
     this.predictedCache = new PredictedCache(engine?.cacheTokens ?? 0);
     this.health = new ServerHealth();
   }
@@ -80,26 +87,52 @@
    */
   limitedCapacity(share: number): LimitedCapacity | null {
     const report = this.#permitReport;
-    const limit = report === null ? this.requestLimit : report;
-    if (limit.requestsPerS === null) return null;
-    const ratePerS = effectiveRate(limit.requestsPerS);
-    if (report === null) {
-      const freeSlots = this.requestLimit.freeSlots(share);
-      return { requestsPerS: ratePerS * share, freeSlots, asks: 0 };
-    }
-    const { freeSlots, asks } = report;
-    return { requestsPerS: ratePerS, freeSlots, asks };
+    return report === null
+      ? this.#ownCapacity(share)
+      : reportedCapacity(report);
   }
 
   /** Expected time until the server's limit allows one more request. */
   limitDelayMs(share: number): number {
-    if (this.#permitReport === null) return this.requestLimit.delayMs(share);
+    if (this.#permitReport === null)
+      return Math.max(
+        this.requestLimit.delayMs(share),
+        this.#coldShare?.delayMs ?? 0,
+      );
     const capacity = this.limitedCapacity(share);
     if (capacity === null) return 0;
     const { asks, freeSlots, requestsPerS } = capacity;
     return (Math.max(0, asks + 1 - freeSlots) / requestsPerS) * MS_PER_SECOND;
   }
 
+  /** Takes a slot for a request that is sent now without a permit. */
+  spendSlot(share: number): void {
+    this.requestLimit.spend(share);
+    this.#coldShare?.spend();
+  }
+
+  /** What this router may send without permits; null for any number. */
+  #ownCapacity(share: number): LimitedCapacity | null {
+    const { requestsPerS } = this.requestLimit;
+    const coldPerS = this.#coldShare?.requestsPerS ?? null;
+    if (requestsPerS === null && coldPerS === null) return null;
+    const named =
+      requestsPerS === null
+        ? { perS: Number.POSITIVE_INFINITY, slots: Number.POSITIVE_INFINITY }
+        : {
+            perS: effectiveRate(requestsPerS) * share,
+            slots: this.requestLimit.freeSlots(share),
+          };
+    const coldSlots =
+      coldPerS === null ? null : (this.#coldShare?.freeSlots ?? null);
+    return {
+      requestsPerS: Math.min(named.perS, coldPerS ?? named.perS),
+      freeSlots: Math.min(named.slots, coldSlots ?? named.slots),
+      asks: 0,
+      isProvisional: requestsPerS === null && this.admission !== null,
+    };
+  }
+
   /** Prefix tokens of a prompt that its cache is expected to hold. */
   cachedTokens(prompt: Prompt, nowMs: number): number {
     const lifetimeMs = this.admission?.report?.cacheLifetimeMs ?? null;
@@ -139,3 +172,20 @@
     this.#inFlight.end(run);
   }
 }
+
+/** What an admission controller allows all routers; null for any number. */
+function reportedCapacity({
+  requestsPerS,
+  freeSlots,
+  coldPace,
+  asks,
+}: EngineReport): LimitedCapacity | null {
+  if (requestsPerS === null && coldPace === undefined) return null;
+  const perS = Math.min(
+    requestsPerS === null
+      ? Number.POSITIVE_INFINITY
+      : effectiveRate(requestsPerS),
+    coldPace?.requestsPerS ?? Number.POSITIVE_INFINITY,
+  );
+  return { requestsPerS: perS, freeSlots, asks, isProvisional: false };
+}
--- a/src/scheduling/server_loads.ts
+++ b/src/scheduling/server_loads.ts
@@ -7,6 +7,7 @@
   ServerNotices,
 } from "../directory/mod.ts";
 import type { Engine, RouteTable } from "../routing/mod.ts";
+import { ColdLoads } from "./cold_loads.ts";
 import type { Demand } from "./demand.ts";
 import type { EngineAdmission } from "./engine_admission.ts";
 import { OpenServers } from "./open_servers.ts";
@@ -35,6 +36,8 @@
 export class ServerLoads {
   /** The servers that take requests now. */
   readonly open: OpenServers;
+  /** The servers that may be cold. */
+  readonly cold: ColdLoads;
   readonly #deps: ServerLoadsDependencies;
   readonly #loads = new Map<string, ServerLoad>();
   readonly #prefillRates = new Map<string, PrefillRate>();
@@ -43,6 +46,11 @@
   constructor(deps: ServerLoadsDependencies) {
     this.#deps = deps;
     this.open = new OpenServers(this.#loads, deps.notices);
+    this.cold = new ColdLoads(deps.clock, {
+      loads: this.#loads,
+      coldStartOf: (service) =>
+        this.#table?.service(service)?.coldStart ?? null,
+    });
   }
 
   /** Applies a new configuration. */
@@ -58,6 +66,7 @@
   /** Applies a change of the server directory. */
   apply(change: DirectoryChange): void {
     const { server } = change;
+    this.cold.apply(change);
     switch (change.type) {
       case "joined":
         this.#loads.set(server.id, this.#createLoad(server));
@@ -92,6 +101,7 @@
     let reported = 0;
     for (const { admission } of this.#loads.values())
       reported = Math.max(reported, admission?.report?.routers ?? 0);
+    this.cold.noteRouters(reported);
     return reported || ASSUMED_ROUTERS;
   }
 
@@ -168,7 +178,9 @@
     const rate = this.#prefillRateOf(server, engine);
     const admission = this.#deps.admissionOf(server);
     const { clock } = this.#deps;
-    return new ServerLoad(server, engine, { clock, rate, admission });
+    const coldShare = this.cold.createShare(server, engine !== null);
+    const deps = { clock, rate, admission, coldShare };
+    return new ServerLoad(server, engine, deps);
   }
 
   /** Engines of one service are alike, so they share one estimate. */
--- a/tests/direct/admission_clients_test.ts
+++ b/tests/direct/admission_clients_test.ts
@@ -22,7 +22,9 @@
   const admission = await startAdmission(port);
   const proxy = await FaultProxy.start(port);
   const engine = { slots: 8, cacheTokens: 10_000, copiedTokensPerMs: 0 };
-  const services = [{ name: "desk", maxConnections: 100, engine }];
+  const services = [
+    { name: "desk", maxConnections: 100, engine, coldStart: null },
+  ];
   const table = new RouteTable(createConfiguration({ services }));
   const clients = new AdmissionClients(
     {
--- a/tests/direct/configuration_change_test.ts
+++ b/tests/direct/configuration_change_test.ts
@@ -88,7 +88,7 @@
   "the service gets an engine": {
     services: [
       {
-        ...{ name: "desk", maxConnections: 100 },
+        ...{ name: "desk", maxConnections: 100, coldStart: null },
         engine: { slots: 8, cacheTokens: 1_000, copiedTokensPerMs: 0 },
       },
     ],
--- a/tests/direct/crash_dissemination_test.ts
+++ b/tests/direct/crash_dissemination_test.ts
@@ -62,7 +62,9 @@
     };
   });
   const engine = { slots: 8, cacheTokens: 10_000, copiedTokensPerMs: 0 };
-  const services = [{ name: "desk", maxConnections: 100, engine }];
+  const services = [
+    { name: "desk", maxConnections: 100, engine, coldStart: null },
+  ];
   const routes = [createRoute({ maxAttempts: 1 })];
   const configuration = createConfiguration({ services, routes });
   const options = { configuration, gatePort };
@@ -191,7 +193,9 @@
   }
   const { reporter } = await createFleet({ gatePort, hosts });
   const engine = { slots: 8, cacheTokens: 10_000, copiedTokensPerMs: 0 };
-  const services = [{ name: "desk", maxConnections: 100, engine }];
+  const services = [
+    { name: "desk", maxConnections: 100, engine, coldStart: null },
+  ];
   const configuration = createConfiguration({ services });
   const isolated: RouterFixture[] = [];
   for (const host of hosts) {
--- a/tests/direct/crashing_part_test.ts
+++ b/tests/direct/crashing_part_test.ts
@@ -127,7 +127,9 @@
 
 function engineConfiguration() {
   const engine = { slots: 8, cacheTokens: 10_000, copiedTokensPerMs: 0 };
-  const services = [{ name: "desk", maxConnections: 100, engine }];
+  const services = [
+    { name: "desk", maxConnections: 100, engine, coldStart: null },
+  ];
   const routes = [createRoute({ maxAttempts: 1 })];
   return createConfiguration({ services, routes });
 }
--- a/tests/direct/server_limit_test.ts
+++ b/tests/direct/server_limit_test.ts
@@ -74,7 +74,7 @@
 ): Promise<void> {
   const terms = { slots: 64, cacheTokens: 400_000, copiedTokensPerMs: 0 };
   const services = ["desk", "chat"].map((name) => ({
-    ...{ name, maxConnections: 100 },
+    ...{ name, maxConnections: 100, coldStart: null },
     engine: name === engine ? terms : null,
   }));
   const routes = [createRoute({ objectiveMs: 1_000, timeoutMs: 4_000 })];
--- a/tests/direct/stream_version_test.ts
+++ b/tests/direct/stream_version_test.ts
@@ -79,7 +79,9 @@
   const [gatePort = 0] = await freePorts(1);
   admission = await startAdmission(gatePort);
   const engine = { slots: 64, cacheTokens: 400_000, copiedTokensPerMs: 0 };
-  const services = [{ name: "desk", maxConnections: 100, engine }];
+  const services = [
+    { name: "desk", maxConnections: 100, engine, coldStart: null },
+  ];
   const stream = { streaming: true, repetition: "resumable" } as const;
   const routes = [createRoute({ ...stream, objectiveMs })];
   const configuration = createConfiguration({ services, routes });
--- a/tests/on_platform/decoders_test.ts
+++ b/tests/on_platform/decoders_test.ts
@@ -37,9 +37,15 @@
     slots: 64,
     state: "ready",
     startedAtMs: 7,
+    coldForMs: 0,
   });
 });
 
+test("an entry says how long its server stays cold", () => {
+  const server = decodeEntry({ warmupLeftMs: 1_250.5 })._unsafeUnwrap();
+  assert.equal(server.coldForMs, 1_250.5);
+});
+
 for (const change of [
   { service: undefined },
   { service: 7 },
@@ -53,6 +59,8 @@
   { born: 1.5 },
   { born: "7" },
   { version: 2 },
+  { warmupLeftMs: "7" },
+  { warmupLeftMs: -1 },
   { version: undefined },
 ]) {
   test(`a server entry with ${JSON.stringify(change)} is rejected`, () => {
--- a/tests/on_platform/program_fixture.ts
+++ b/tests/on_platform/program_fixture.ts
@@ -231,12 +231,18 @@
 export async function render(role: Role, fields: object): Promise<string> {
   const path = join(ROOT, "deploy", `${role}.json.template`);
   const template = await readFile(path, "utf8");
-  return template.replace(/\{\{([\w.]+)(\|json)?\}\}/g, (_all, name, json) => {
-    const value = name
+  const valueOf = (name: string) =>
+    name
       .split(".")
       .reduce((at: never, key: string) => at[key], fields as never);
-    return json === undefined ? String(value) : JSON.stringify(value);
-  });
+  return template
+    .replace(/\{\{#([\w.]+)\}\}(.*?)\{\{\/\1\}\}/gs, (_all, name, text) =>
+      valueOf(name) === undefined ? "" : text,
+    )
+    .replace(/\{\{([\w.]+)(\|json)?\}\}/g, (_all, name, json) => {
+      const value = valueOf(name);
+      return json === undefined ? String(value) : JSON.stringify(value);
+    });
 }
 
 /** Events of one kind that a program has logged. */
--- a/tests/support/routes.ts
+++ b/tests/support/routes.ts
@@ -30,7 +30,9 @@
   return {
     version: 1,
     routes: [createRoute()],
-    services: [{ name: "desk", maxConnections: 100, engine: null }],
+    services: [
+      { name: "desk", maxConnections: 100, engine: null, coldStart: null },
+    ],
     teams: [{ name: "porters", apiKeys: ["key-1"] }],
     limits: {
       headerBytes: 16_384,
--- a/tests/support/servers.ts
+++ b/tests/support/servers.ts
@@ -16,6 +16,7 @@
     slots: 4,
     state: "ready",
     startedAtMs: 0,
+    coldForMs: 0,
     ...overrides,
   };
 }
