--- a/src/admission/admission_process.ts
+++ b/src/admission/admission_process.ts
@@ -119,7 +119,7 @@
     this.#teamLogTimer = setInterval(() => {
       this.#logTeams();
       // Routers that were lost long ago aren't expected back.
-      this.#setConnectedShare();
+      this.#setRouters();
       this.#crashRelay.sweep();
     }, TEAM_LOG_INTERVAL_MS);
     this.#events.info("start", { instance, service });
@@ -160,7 +160,7 @@
     });
     this.#sessions.add(session);
     this.#routers.add(instance);
-    this.#setConnectedShare();
+    this.#setRouters();
     for (const { start, notice } of this.#notices.current)
       session.sendReport(packNotice(start, notice));
     session.sendReport(this.#createReport([...this.#controller.recentUsage]));
@@ -168,18 +168,18 @@
     await session.serve();
     this.#sessions.delete(session);
     this.#routers.remove(instance);
-    this.#setConnectedShare();
+    this.#setRouters();
     const reason = connection.closeReason;
     this.#events.warn("router-lost", { router: instance, reason });
   }
 
   #noteRouters(routers: number): void {
     this.#routers.noteHint(routers);
-    this.#setConnectedShare();
+    this.#setRouters();
   }
 
-  #setConnectedShare(): void {
-    this.#controller.setConnectedShare(this.#routers.connectedShare);
+  #setRouters(): void {
+    this.#controller.coldGuard.setRouters(this.#routers.current);
   }
 
   #noteOrigin(notice: OriginNotice): void {
--- a/src/admission/cold_guard.ts
+++ b/src/admission/cold_guard.ts
@@ -8,8 +8,9 @@
 
 import type { Clock } from "../common/clock.ts";
 import type { ColdPace, ColdTerms } from "../protocol/mod.ts";
-import { RequestLimit } from "../scheduling/mod.ts";
+import { COLD_SHARE_OF_RATE, RequestLimit } from "../scheduling/mod.ts";
 import { PermitWindow } from "./permit_window.ts";
+import type { Routers } from "./router_count.ts";
 
 /** What a cold engine may get in one second, from all routers together. */
 export interface ColdBounds {
@@ -51,6 +52,11 @@
 const SLOT_LIFETIME_MS = 250;
 /** Time in which permits of an earlier process may still count. */
 const START_MS = 1_000;
+/**
+ * Standard deviations by which routers without permits may send more than their
+ * mean in the fullest of many seconds: the phases of their slots are random.
+ */
+const SPREAD_DEVIATIONS = 5;
 
 /** Permits for one engine; without terms, any number. */
 export class ColdGuard {
@@ -64,6 +70,7 @@
   #source: ColdSource = "controller-started";
   #isCold = false;
   #held = new Set<unknown>();
+  #routers: Routers = { connected: 1, known: 1 };
 
   /** @param bounds null to bound nothing while the engine is warm */
   constructor(clock: Clock, bounds: ColdBounds | null) {
@@ -84,6 +91,11 @@
     return Math.max(0, this.#coldUntilMs - this.#clock.monotonicMs());
   }
 
+  /** Sets how many routers there are, and how many ask for permits here. */
+  setRouters(routers: Routers): void {
+    this.#routers = routers;
+  }
+
   /** Applies what a router knows; without terms, nothing is bounded. */
   configure(terms: ColdTerms | undefined): void {
     const isFirst = this.#terms === null;
@@ -126,33 +138,32 @@
   /**
    * Whether a permit may be issued now.
    *
-   * @param share part of the bound that connected routers have, 0 to 1
    * @param request counted once as held back if it may not
    */
-  allows(share: number, request: unknown): boolean {
+  allows(request: unknown): boolean {
     if (this.#terms === null) return true;
-    const most = this.#mostInWindow(share);
+    const most = this.#mostInWindow;
     const isOpen =
       (most === null || this.#window.free(most) > 0) &&
-      (this.remainingMs === 0 || this.#pace.delayMs(share) === 0);
+      (this.remainingMs === 0 || this.#pace.delayMs(this.#share) === 0);
     if (!isOpen && this.remainingMs > 0) this.#held.add(request);
     return isOpen;
   }
 
   /** Records a permit that is issued now. */
-  spend(share: number): void {
+  spend(): void {
     if (this.#terms === null) return;
     this.#window.add();
-    if (this.remainingMs > 0) this.#pace.spend(share);
+    if (this.remainingMs > 0) this.#pace.spend(this.#share);
   }
 
   /** Permits that may be issued now; null if their number isn't bounded. */
-  freeSlots(share: number): number | null {
+  get freeSlots(): number | null {
     if (this.#terms === null) return null;
-    const most = this.#mostInWindow(share);
+    const most = this.#mostInWindow;
     const window = most === null ? null : this.#window.free(most);
     if (this.remainingMs === 0) return window;
-    const paced = this.#pace.freeSlots(share);
+    const paced = this.#pace.freeSlots(this.#share);
     return window === null ? paced : Math.min(window, paced);
   }
 
@@ -161,14 +172,14 @@
    *
    * @param hasQueued whether requests wait for permits
    */
-  paceOf(share: number, hasQueued: boolean): ColdPace | undefined {
+  pace(hasQueued: boolean): ColdPace | undefined {
     if (this.#terms === null) return undefined;
     const { remainingMs } = this;
     if (remainingMs > 0) {
-      const requestsPerS = this.#terms.requestsPerS * share;
+      const requestsPerS = this.#terms.requestsPerS * this.#share;
       return { requestsPerS, remainingMs: Math.ceil(remainingMs) };
     }
-    const most = this.#mostInWindow(share);
+    const most = this.#mostInWindow;
     if (most === null || !hasQueued || this.#window.free(most) > 0)
       return undefined;
     const requestsPerS = (most * BOUND_MS) / (BOUND_MS + JITTER_MS);
@@ -176,11 +187,27 @@
   }
 
   /** Permits in any window; null if that isn't bounded. */
-  #mostInWindow(share: number): number | null {
+  get #mostInWindow(): number | null {
     if (this.#terms === null || this.#bounds === null) return null;
     const { overshoot, slack } = this.#bounds;
     const bound = this.#terms.requestsPerS * overshoot + slack;
-    return Math.max(1, Math.floor(bound * share));
+    const elsewhere = this.#sentElsewhere;
+    const spread = SPREAD_DEVIATIONS * Math.sqrt(elsewhere);
+    return Math.max(1, Math.floor(bound - elsewhere - spread));
+  }
+
+  /** Part of all routers that asks for permits here, 0 to 1. */
+  get #share(): number {
+    const { connected, known } = this.#routers;
+    return known === 0 ? 1 : Math.max(1, connected) / known;
+  }
+
+  /** Mean of what the other routers send in one second. */
+  get #sentElsewhere(): number {
+    const { connected, known } = this.#routers;
+    if (this.#terms === null || known === 0) return 0;
+    const share = Math.max(0, known - connected) / known;
+    return this.#terms.requestsPerS * COLD_SHARE_OF_RATE * share;
   }
 
   #createPace(): RequestLimit {
--- a/src/admission/controller.ts
+++ b/src/admission/controller.ts
@@ -100,7 +100,6 @@
   #health = new ServerHealth();
   readonly #tokenBucket: TokenBucket;
   #requestLimit: RequestLimit;
-  #connectedShare = 1;
 
   /**
    * @param notices what servers have said of themselves
@@ -137,20 +136,14 @@
   /** The limits in force, and the requests that they allow at once. */
   get #pacing(): Pick<EngineLoad, "requestsPerS" | "freeSlots" | "coldPace"> {
     const { requestsPerS } = this.#requestLimit;
-    const share = this.#connectedShare;
-    const coldPace = this.coldGuard.paceOf(share, this.hasQueued);
+    const coldPace = this.coldGuard.pace(this.hasQueued);
     const named = this.#requestLimit.freeSlots(1);
     if (coldPace === undefined) return { requestsPerS, freeSlots: named };
-    const paced = this.coldGuard.freeSlots(share) ?? 0;
+    const paced = this.coldGuard.freeSlots ?? 0;
     const freeSlots = requestsPerS === null ? paced : Math.min(named, paced);
     return { requestsPerS, freeSlots, coldPace };
   }
 
-  /** Sets the part of all routers that asks for permits here, 0 to 1. */
-  setConnectedShare(share: number): void {
-    this.#connectedShare = share;
-  }
-
   /** Whether requests wait for permits. */
   get hasQueued(): boolean {
     return this.#queue.size > 0;
@@ -297,7 +290,7 @@
       this.#count(next, "permitted");
       this.#tokenBucket.spend(uncachedTokens);
       this.#requestLimit.spend(1);
-      this.coldGuard.spend(this.#connectedShare);
+      this.coldGuard.spend();
       this.#startRun(next.router, next.request, uncachedTokens);
       next.router.permit(next.request.ask, uncachedTokens);
     }
@@ -317,7 +310,7 @@
     const { server, startedAtMs } = this.#configuration;
     if (this.#notices.isClosed({ id: server, startedAtMs })) return false;
     if (this.#requestLimit.delayMs(1) > 0) return false;
-    if (!this.coldGuard.allows(this.#connectedShare, request)) return false;
+    if (!this.coldGuard.allows(request)) return false;
     if (
       !this.#tokenBucket.hasTokens &&
       !this.#isLightlyLoaded(this.#configuration)
--- a/src/admission/router_count.ts
+++ b/src/admission/router_count.ts
@@ -5,6 +5,14 @@
 /** Time after which a router that was lost isn't expected back. */
 const MEMORY_MS = 60_000;
 
+/** Numbers of routers. */
+export interface Routers {
+  /** Those that are connected to the admission controller. */
+  readonly connected: number;
+  /** All of the fleet, as far as is known. */
+  readonly known: number;
+}
+
 /** Routers of the fleet, as one admission controller knows them. */
 export class RouterCount {
   readonly #clock: Clock;
@@ -44,14 +52,14 @@
     this.#hintedAtMs = nowMs;
   }
 
-  /** Part of all known routers that is connected, 0 to 1. */
-  get connectedShare(): number {
+  /** The numbers now. */
+  get current(): Routers {
     const sinceMs = this.#clock.monotonicMs() - MEMORY_MS;
     for (const [instance, lostAtMs] of this.#lostAtMs)
       if (lostAtMs <= sinceMs) this.#lostAtMs.delete(instance);
     const connected = this.#connected.size;
     const hinted = this.#hintedAtMs > sinceMs ? this.#hinted : 0;
     const known = Math.max(connected + this.#lostAtMs.size, hinted);
-    return known === 0 ? 0 : connected / known;
+    return { connected, known };
   }
 }
--- a/src/scheduling/cold_share.ts
+++ b/src/scheduling/cold_share.ts
@@ -10,10 +10,10 @@
 
 /**
  * Part of the rate that a cold server tolerates which routers without permits
- * use together. Their slots have random phases, so more than the mean of them
- * may fall into one second.
+ * use together. Their slots have random phases, so a multiple of the mean may
+ * fall into one of the many seconds in which the bound holds.
  */
-const USED_RATE_SHARE = 0.75;
+export const COLD_SHARE_OF_RATE = 0.5;
 /** As long as queued requests are checked at; see `scheduler.ts`. */
 const SLOT_LIFETIME_MS = 50;
 
@@ -68,7 +68,7 @@
     const toleratedPerS = this.#deps.toleratedPerS();
     if (toleratedPerS === null) return null;
     if (toleratedPerS !== this.#setPerS) {
-      const requestsPerS = toleratedPerS * USED_RATE_SHARE;
+      const requestsPerS = toleratedPerS * COLD_SHARE_OF_RATE;
       const sentAtMs = this.#deps.clock.monotonicMs();
       this.#limit.observe({ requestsPerS, sentAtMs });
       this.#setPerS = toleratedPerS;
--- a/src/scheduling/mod.ts
+++ b/src/scheduling/mod.ts
@@ -4,6 +4,7 @@
  */
 
 export type { ColdLoads, ColdTerms } from "./cold_loads.ts";
+export { COLD_SHARE_OF_RATE } from "./cold_share.ts";
 export type { Decision, Placement } from "./decision.ts";
 export * from "./demand.ts";
 export * from "./engine_admission.ts";
--- a/tests/on_platform/program_fixture.ts
+++ b/tests/on_platform/program_fixture.ts
@@ -231,16 +231,16 @@
 export async function render(role: Role, fields: object): Promise<string> {
   const path = join(ROOT, "deploy", `${role}.json.template`);
   const template = await readFile(path, "utf8");
-  const valueOf = (name: string) =>
+  const fieldOf = (name: string) =>
     name
       .split(".")
       .reduce((at: never, key: string) => at[key], fields as never);
   return template
     .replace(/\{\{#([\w.]+)\}\}(.*?)\{\{\/\1\}\}/gs, (_all, name, text) =>
-      valueOf(name) === undefined ? "" : text,
+      fieldOf(name) === undefined ? "" : text,
     )
     .replace(/\{\{([\w.]+)(\|json)?\}\}/g, (_all, name, json) => {
-      const value = valueOf(name);
+      const value = fieldOf(name);
       return json === undefined ? String(value) : JSON.stringify(value);
     });
 }
