--- a/tests/direct/admission_clients_test.ts
+++ b/tests/direct/admission_clients_test.ts
@@ -4,7 +4,7 @@
 import { test } from "node:test";
 import { systemClock } from "../../src/common/clock.ts";
 import { AdmissionClients } from "../../src/direct/admission_clients.ts";
-import { RouteTable } from "../../src/routing/mod.ts";
+import { RouteTable, type Service } from "../../src/routing/mod.ts";
 import { ADMISSION_HEARTBEAT_MS } from "../../src/transport/mod.ts";
 import { FaultProxy } from "../../tools/fleet/fault_proxy.ts";
 import { freePorts } from "../../tools/fleet/ports.ts";
@@ -17,14 +17,12 @@
 const TIMEOUT_MS = 5_000;
 const HOST = "127.0.0.1";
 
-async function createClients() {
+async function createClients({ coldStart = null }: Partial<Service> = {}) {
   const [port = 0] = await freePorts(1);
   const admission = await startAdmission(port);
   const proxy = await FaultProxy.start(port);
   const engine = { slots: 8, cacheTokens: 10_000, copiedTokensPerMs: 0 };
-  const services = [
-    { name: "desk", maxConnections: 100, engine, coldStart: null },
-  ];
+  const services = [{ name: "desk", maxConnections: 100, engine, coldStart }];
   const table = new RouteTable(createConfiguration({ services }));
   const clients = new AdmissionClients(
     {
@@ -38,6 +36,8 @@
     {
       table: () => table,
       expectedTokensPerMs: () => 10,
+      coldTerms: () =>
+        coldStart && { ...coldStart, remainingMs: 1_200, routers: 2 },
       onChange: () => {},
       crashSummary: () => ({ type: "crash-summary", digest: 0 }),
       onCrashSync: () => [],
@@ -113,3 +113,31 @@
   assert.ok(performance.now() - startedMs < idleMs / 2);
   await close();
 });
+
+test("a controller that is told of a cold engine reports its pace", async () => {
+  const coldStart = { durationMs: 3_000, requestsPerS: 9 };
+  const { clients, close } = await createClients({ coldStart });
+  try {
+    const client = clients.of(createServer({ id: "e1", host: HOST }));
+    const holds = () => client?.report?.coldPace !== undefined;
+    await until("the pace is reported", TIMEOUT_MS, { holds });
+    const { requestsPerS, remainingMs } = client?.report?.coldPace ?? {};
+    // One of two routers is connected.
+    assert.equal(requestsPerS, 4.5);
+    assert.ok((remainingMs ?? 0) > 0 && (remainingMs ?? 0) <= 1_200);
+  } finally {
+    await close();
+  }
+});
+
+test("nothing about cold engines is told where they are never cold", async () => {
+  const { clients, close } = await createClients();
+  try {
+    const client = clients.of(createServer({ id: "e1", host: HOST }));
+    const holds = () => client?.report !== null;
+    await until("a report has come", TIMEOUT_MS, { holds });
+    assert.equal("coldPace" in (client?.report ?? {}), false);
+  } finally {
+    await close();
+  }
+});
