--- a/tests/on_platform/decoders_test.ts
+++ b/tests/on_platform/decoders_test.ts
@@ -253,3 +253,16 @@
   });
   assert.equal(sent[sent.indexOf("Kv-Fetch") + 1], "10.0.0.2:80");
 });
+
+test("a service says how long its servers are cold and what they take", () => {
+  const services = [
+    { name: "m", maxConns: 360, coldS: 3, coldPerS: 9.1 },
+    { name: "n", maxConns: 96, coldS: 0, coldPerS: 0 },
+    { name: "o", maxConns: 96, coldS: 3 },
+  ];
+  const decoded = configurationDecoder.decode({ ...CONFIGURATION, services });
+  assert.deepEqual(
+    decoded._unsafeUnwrap().services.map(({ coldStart }) => coldStart),
+    [{ durationMs: 3_000, requestsPerS: 9.1 }, null, null],
+  );
+});
