--- a/tests/scheduling/cold_placement_test.ts
+++ b/tests/scheduling/cold_placement_test.ts
@@ -18,7 +18,7 @@
 } from "../support/manual_clock.ts";
 import { createServer } from "../support/servers.ts";
 import { createDemand, createPrompt } from "./demands.ts";
-import { createEngineView } from "./engine_view.ts";
+import { createEngineView, type EngineView } from "./engine_view.ts";
 
 const ENGINES = 6;
 const COLD_ENGINES = 2;
@@ -46,90 +46,103 @@
   return controller;
 }
 
-interface Played {
+/** Engines, some of them cold, and one router; `run` them once. */
+class Ramp {
   /** Requests that each engine was given. */
-  readonly sent: readonly number[];
+  readonly sent: number[] = Array.from({ length: ENGINES }, () => 0);
   /** Most requests that waited in front of one cold engine. */
-  readonly mostAsks: number;
-  readonly refused: number;
-}
+  mostAsks = 0;
+  refused = 0;
+  readonly #clock = createManualClock();
+  readonly #controllers: readonly AdmissionController[];
+  readonly #views: readonly EngineView[];
+  /** When requests that wait for permits give up, by number. */
+  readonly #waitingUntilMs = new Map<number, number>();
 
-/** Plays the ramp of engines that are cold. */
-function play(coldEngines: number): Played {
-  const clock = createManualClock();
-  const controllers = Array.from({ length: ENGINES }, (_, index) => {
-    const remainingMs = 0;
-    return createController(clock, { server: `e${index}`, remainingMs });
-  });
-  // Controllers that start are cold for a second.
-  clock.advance(2_000);
-  for (const controller of controllers.slice(0, coldEngines))
-    controller.coldGuard.noteStart("engine-started");
-  const views = controllers.map((controller, index) =>
-    createEngineView(controller, {
-      ...{ clock, id: `e${index}`, engine: ENGINE, tokensPerMs: 400 },
-      routers: 1,
-    }),
-  );
-  const loads = views.map(({ load }) => load);
-  const sent = controllers.map(() => 0);
-  const waiting = new Map<number, { engine: number; untilMs: number }>();
-  let mostAsks = 0;
-  let refused = 0;
-  for (let ms = 0; ms < COLD_START.durationMs - 100; ms += STEP_MS) {
-    clock.advance(STEP_MS);
-    if (ms % REPORT_EVERY_MS === 0)
-      for (const [index, view] of views.entries())
-        view.report = {
-          ...(controllers[index]?.load ?? view.report),
-          routers: 1,
-        };
-    const before = Math.floor((ms * REQUESTS_PER_S) / 1_000);
-    const until = Math.floor(((ms + STEP_MS) * REQUESTS_PER_S) / 1_000);
-    for (let number = before; number < until; number += 1) {
-      const prompt = createPrompt(`head-${number % PREFIXES}`, `r${number}`);
-      const demand = createDemand({ requestId: `r${number}`, prompt });
-      const choice = chooseServer(demand, loads, {
-        ...{ availabilityZone: "a", nowMs: clock.monotonicMs(), share: 1 },
-      });
-      if (choice === null) continue;
-      const engine = loads.indexOf(choice.load);
-      const controller = controllers[engine];
-      const view = views[engine];
-      if (controller === undefined || view === undefined) continue;
-      view.report = { ...view.report, asks: view.report.asks + 1 };
-      const untilMs = clock.monotonicMs() + MAX_WAIT_MS;
-      waiting.set(number, { engine, untilMs });
-      const receiver = {
-        permit: (ask: number) => {
-          waiting.delete(ask);
-          sent[engine] = (sent[engine] ?? 0) + 1;
-          controller.markPrefilled(receiver, ask);
-          controller.finish(receiver, ask, "served");
-        },
-      };
-      controller.enqueue(receiver, {
-        ...{ type: "ask", ask: number, team: "a", elsewhere: 0, cost: 1_000 },
-        parts: prompt.parts.map(({ id, tokens }) => [id, tokens]),
-        ...{ copiedTokens: 9_000, outputTokens: 100, objectiveMs: 1_000 },
-        leftMs: 1_000,
-      });
+  constructor() {
+    const clock = this.#clock;
+    this.#controllers = Array.from({ length: ENGINES }, (_, index) =>
+      createController(clock, { server: `e${index}`, remainingMs: 0 }),
+    );
+    // Controllers that start are cold for a second.
+    clock.advance(2_000);
+    for (const controller of this.#coldControllers)
+      controller.coldGuard.noteStart("engine-started");
+    this.#views = this.#controllers.map((controller, index) => {
+      const options = { id: `e${index}`, engine: ENGINE, tokensPerMs: 400 };
+      return createEngineView(controller, { clock, ...options, routers: 1 });
+    });
+  }
+
+  run(forMs: number): void {
+    for (let ms = 0; ms < forMs; ms += STEP_MS) {
+      this.#clock.advance(STEP_MS);
+      if (ms % REPORT_EVERY_MS === 0) this.#report();
+      const before = Math.floor((ms * REQUESTS_PER_S) / 1_000);
+      const until = Math.floor(((ms + STEP_MS) * REQUESTS_PER_S) / 1_000);
+      for (let number = before; number < until; number += 1) this.#ask(number);
+      for (const controller of this.#controllers) controller.admitQueued();
+      this.#refuseLate();
+      for (const { load } of this.#coldControllers)
+        this.mostAsks = Math.max(this.mostAsks, load.asks);
+    }
+  }
+
+  get #coldControllers(): readonly AdmissionController[] {
+    return this.#controllers.slice(0, COLD_ENGINES);
+  }
+
+  #report(): void {
+    for (const [index, { load }] of this.#controllers.entries()) {
+      const view = this.#views[index];
+      if (view !== undefined) view.report = { ...load, routers: 1 };
+    }
+  }
+
+  #ask(number: number): void {
+    const nowMs = this.#clock.monotonicMs();
+    const prompt = createPrompt(`head-${number % PREFIXES}`, `r${number}`);
+    const demand = createDemand({ requestId: `r${number}`, prompt });
+    const loads = this.#views.map(({ load }) => load);
+    const context = { availabilityZone: "a", nowMs, share: 1 };
+    const choice = chooseServer(demand, loads, context);
+    const engine = choice === null ? -1 : loads.indexOf(choice.load);
+    const controller = this.#controllers[engine];
+    const view = this.#views[engine];
+    if (controller === undefined || view === undefined) return;
+    view.report = { ...view.report, asks: view.report.asks + 1 };
+    this.#waitingUntilMs.set(number, nowMs + MAX_WAIT_MS);
+    const receiver = {
+      permit: (ask: number) => {
+        this.#waitingUntilMs.delete(ask);
+        this.sent[engine] = (this.sent[engine] ?? 0) + 1;
+        controller.markPrefilled(receiver, ask);
+        controller.finish(receiver, ask, "served");
+      },
+    };
+    controller.enqueue(receiver, {
+      ...{ type: "ask", ask: number, team: "a", elsewhere: 0, cost: 1_000 },
+      parts: prompt.parts.map(({ id, tokens }) => [id, tokens]),
+      ...{ copiedTokens: 9_000, outputTokens: 100, objectiveMs: 1_000 },
+      leftMs: 1_000,
+    });
+  }
+
+  #refuseLate(): void {
+    for (const [number, untilMs] of this.#waitingUntilMs) {
+      if (this.#clock.monotonicMs() < untilMs) continue;
+      this.#waitingUntilMs.delete(number);
+      this.refused += 1;
     }
-    for (const controller of controllers) controller.admitQueued();
-    for (const [number, { untilMs }] of waiting)
-      if (clock.monotonicMs() >= untilMs) {
-        waiting.delete(number);
-        refused += 1;
-      }
-    for (const { load } of controllers.slice(0, coldEngines))
-      mostAsks = Math.max(mostAsks, load.asks);
   }
-  return { sent, mostAsks, refused };
 }
 
 test("cold engines are filled alike up to their pace, and nothing piles up", () => {
-  const { sent, mostAsks, refused } = play(COLD_ENGINES);
-  const pacedS = (COLD_START.durationMs - 100) / 1_000;
+  const pacedMs = COLD_START.durationMs - 100;
+  const ramp = new Ramp();
+  ramp.run(pacedMs);
+  const { sent, mostAsks, refused } = ramp;
+  const pacedS = pacedMs / 1_000;
   for (const count of sent.slice(0, COLD_ENGINES)) {
     assert.ok(count <= pacedS * COLD_START.requestsPerS + 3, `${sent}`);
     // They get what they will own, not only what others can't take.
