--- a/src/checking/fleet_concerns.ts
+++ b/src/checking/fleet_concerns.ts
@@ -21,6 +21,7 @@
       ...checkDestinations(route, index, services),
       ...checkPath(route, index, routes),
       ...checkTimes(route, index),
+      ...checkRegions(route, index, teams ?? []),
     ]),
     ...services.flatMap((service, index) =>
       checkService(service, index, routes),
@@ -83,6 +84,21 @@
   return [concern("contradiction", path, message)];
 }
 
+/** Regions of a route and of a team both bind. */
+function checkRegions(
+  { name, regions }: Route,
+  index: number,
+  teams: readonly Team[],
+): Concern[] {
+  if (regions === null) return [];
+  return teams.flatMap((team) => {
+    const isServed = team.regions?.some((one) => regions.includes(one)) ?? true;
+    if (isServed) return [];
+    const message = `Route "${name}" can't serve team "${team.name}": they share no region`;
+    return [concern("contradiction", `/routes/${index}`, message)];
+  });
+}
+
 function checkService(
   { name, maxConnections, engine }: Service,
   index: number,
--- a/src/protocol/field_numbers.ts
+++ b/src/protocol/field_numbers.ts
@@ -31,6 +31,7 @@
   ...["request", "softwareVersion", "cacheLifetimeMs", "notice"],
   ...["cleared", "digest", "digests", "crashes"],
   ...["era", "revision", "zones"],
+  ...["coldTerms", "coldPace", "durationMs"],
 ] as const;
 
 /** Number of each field name. */
--- a/src/scheduling/mod.ts
+++ b/src/scheduling/mod.ts
@@ -3,6 +3,8 @@
  * capacity, and refuses those that can't be served in time.
  */
 
+export type { ColdLoads, ColdTerms } from "./cold_loads.ts";
+export { COLD_SHARE_OF_RATE } from "./cold_share.ts";
 export type { Decision, Placement } from "./decision.ts";
 export * from "./demand.ts";
 export * from "./engine_admission.ts";
--- a/tests/admission/controller_test.ts
+++ b/tests/admission/controller_test.ts
@@ -428,7 +428,7 @@
   const clock = createManualClock();
   const evacuations = new ZoneEvacuations(clock);
   const controller = new AdmissionController(clock, new ServerNotices(clock), {
-    isEmptied: () => evacuations.isEmptied("a"),
+    zone: { isEmptied: () => evacuations.isEmptied("a") },
   });
   controller.configure(createConfiguration());
   const learn = (revision: number, ...zones: string[]) =>
--- a/tests/checking/difference_test.ts
+++ b/tests/checking/difference_test.ts
@@ -39,7 +39,9 @@
 });
 
 test("API keys are counted and not shown", () => {
-  const teams = [{ name: "porters", apiKeys: ["key-2", "key-3"] }];
+  const teams = [
+    { name: "porters", apiKeys: ["key-2", "key-3"], regions: null },
+  ];
   const changes = compare(
     sectionsOfFleet(createConfiguration()),
     sectionsOfFleet(createConfiguration({ teams })),
--- a/tests/checking/fleet_concerns_test.ts
+++ b/tests/checking/fleet_concerns_test.ts
@@ -3,12 +3,23 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { findFleetConcerns } from "../../src/checking/mod.ts";
-import type { FleetConfiguration, Service } from "../../src/routing/mod.ts";
+import type {
+  FleetConfiguration,
+  Service,
+  Team,
+} from "../../src/routing/mod.ts";
 import { createConfiguration, createRoute } from "../support/routes.ts";
 
 function createService(overrides: Partial<Service> = {}): Service {
   const engine = { slots: 8, cacheTokens: 100_000, copiedTokensPerMs: 0 };
-  return { name: "model", maxConnections: 100, engine, ...overrides };
+  return {
+    ...{ name: "model", maxConnections: 100, engine, coldStart: null },
+    ...overrides,
+  };
+}
+
+function createTeam(name: string, ...apiKeys: string[]): Team {
+  return { name, apiKeys, regions: null };
 }
 
 /** Returns the concerns as `type path: message`. */
@@ -60,7 +71,7 @@
   const found = concernsAbout({
     routes,
     services: [...services, createService({ name: "idle" }), createService()],
-    teams: [{ name: "keyless", apiKeys: [] }],
+    teams: [createTeam("keyless")],
   });
   assert.deepEqual(
     found.map((one) => one.split(":")[0]),
@@ -103,9 +114,9 @@
 test("a key of two teams is an error that doesn't show the key", () => {
   const found = concernsAbout({
     teams: [
-      { name: "porters", apiKeys: ["key-1", "key-1"] },
-      { name: "clerks", apiKeys: ["key-1"] },
-      { name: "porters", apiKeys: ["key-2"] },
+      createTeam("porters", "key-1", "key-1"),
+      createTeam("clerks", "key-1"),
+      createTeam("porters", "key-2"),
     ],
   });
   assert.deepEqual(found, [
@@ -113,3 +124,16 @@
     'error /teams/1: An API key of team "clerks" is also one of team "porters"',
   ]);
 });
+
+test("a team whose regions its routes don't share can't be served there", () => {
+  const regions = ["west"];
+  const routes = [
+    createRoute({ regions: ["north", "west"] }),
+    createRoute({ name: "east", pathPrefix: "/e/", regions: ["east"] }),
+    createRoute({ name: "any", pathPrefix: "/any/" }),
+  ];
+  const teams = [{ ...createTeam("clerks", "key-1"), regions }];
+  const found = concernsAbout({ routes, teams });
+  assert.equal(found.length, 1);
+  assert.match(found[0] ?? "", /^contradiction \/routes\/1: .*"clerks"/);
+});
--- a/tests/direct/shared_evacuations_test.ts
+++ b/tests/direct/shared_evacuations_test.ts
@@ -73,7 +73,9 @@
 /** A router's connection to the admission controller at a port. */
 function connect(port: number, instance: string) {
   const engine = { slots: 8, cacheTokens: 10_000, copiedTokensPerMs: 0 };
-  const services = [{ name: "desk", maxConnections: 100, engine }];
+  const services = [
+    { name: "desk", maxConnections: 100, engine, coldStart: null },
+  ];
   const table = new RouteTable(createConfiguration({ services }));
   const evacuations = new ZoneEvacuations(systemClock);
   const shared = new SharedEvacuations({
--- a/tests/on_platform/decoders_test.ts
+++ b/tests/on_platform/decoders_test.ts
@@ -37,9 +37,15 @@
     slots: 64,
     state: "ready",
     startedAtMs: 7,
+    coldForMs: 0,
   });
 });
 
+test("an entry says how long its server stays cold", () => {
+  const server = decodeEntry({ warmupLeftMs: 1_250.5 })._unsafeUnwrap();
+  assert.equal(server.coldForMs, 1_250.5);
+});
+
 for (const change of [
   { service: undefined },
   { service: 7 },
@@ -53,6 +59,8 @@
   { born: 1.5 },
   { born: "7" },
   { version: 2 },
+  { warmupLeftMs: "7" },
+  { warmupLeftMs: -1 },
   { version: undefined },
 ]) {
   test(`a server entry with ${JSON.stringify(change)} is rejected`, () => {
@@ -263,3 +271,16 @@
   });
   assert.equal(sent[sent.indexOf("Kv-Fetch") + 1], "10.0.0.2:80");
 });
+
+test("a service says how long its servers are cold and what they take", () => {
+  const services = [
+    { name: "m", maxConns: 360, coldS: 3, coldPerS: 9.1 },
+    { name: "n", maxConns: 96, coldS: 0, coldPerS: 0 },
+    { name: "o", maxConns: 96, coldS: 3 },
+  ];
+  const decoded = configurationDecoder.decode({ ...CONFIGURATION, services });
+  assert.deepEqual(
+    decoded._unsafeUnwrap().services.map(({ coldStart }) => coldStart),
+    [{ durationMs: 3_000, requestsPerS: 9.1 }, null, null],
+  );
+});
--- a/tests/scheduling/restricted_zones_test.ts
+++ b/tests/scheduling/restricted_zones_test.ts
@@ -85,7 +85,9 @@
     service === "plain"
       ? null
       : { slots: 64, cacheTokens: 400_000, copiedTokensPerMs: 500 };
-  const services = [{ name: "chat", maxConnections: 100, engine }];
+  const services = [
+    { name: "chat", maxConnections: 100, engine, coldStart: null },
+  ];
   scheduler.configure(new RouteTable(createConfiguration({ services })));
   const add = (zone: string, change: Partial<BackendServer> = {}) => {
     if (engine !== null) admissions.set(zone, new FakeAdmission());
--- a/tests/support/routes.ts
+++ b/tests/support/routes.ts
@@ -31,7 +31,9 @@
   return {
     version: 1,
     routes: [createRoute()],
-    services: [{ name: "desk", maxConnections: 100, engine: null }],
+    services: [
+      { name: "desk", maxConnections: 100, engine: null, coldStart: null },
+    ],
     teams: [{ name: "porters", apiKeys: ["key-1"], regions: null }],
     limits: {
       headerBytes: 16_384,
