--- a/src/admission/admission_process.ts
+++ b/src/admission/admission_process.ts
@@ -3,19 +3,10 @@
 import { randomUUID } from "node:crypto";
 import { systemClock } from "../common/clock.ts";
 import type { EventLog } from "../common/event_log.ts";
-import {
-  type EvacuationChange,
-  packEvacuations,
-  packNotice,
-  ServerNotices,
-  unpackEvacuations,
-  unpackNotice,
-  ZoneEvacuations,
-} from "../directory/mod.ts";
+import { packNotice, ServerNotices, unpackNotice } from "../directory/mod.ts";
 import { OriginMemory, packOrigin, unpackOrigin } from "../origins/mod.ts";
 import {
   type CrashReport,
-  type EvacuationsReport,
   type OriginAnswer,
   type OriginNotice,
   type OriginQuery,
@@ -36,6 +27,7 @@
 import { AdmissionController } from "./controller.ts";
 import { CrashRelay } from "./crash_relay.ts";
 import type { EngineState } from "./engine_state.ts";
+import { EvacuationRelay } from "./evacuation_relay.ts";
 import { ReportThrottle } from "./report_throttle.ts";
 import { type RelayedReport, RouterSession } from "./router_session.ts";
 import type { AdmissionSettings } from "./settings.ts";
@@ -57,9 +49,10 @@
   readonly #events: EventLog;
   /** Notices of all servers, for routers that connect later. */
   readonly #notices = new ServerNotices(systemClock);
-  readonly #evacuations = new ZoneEvacuations(systemClock);
+  readonly #evacuations: EvacuationRelay<RouterSession>;
   readonly #controller = new AdmissionController(systemClock, this.#notices, {
-    isEmptied: () => this.#isEmptied,
+    isEmptied: () =>
+      this.#evacuations.isEmptied(this.#settings.availabilityZone),
   });
   /** Beginnings of streams at all servers, for routers to find. */
   readonly #origins = new OriginMemory(systemClock);
@@ -90,7 +83,13 @@
       role: "side-process",
       ...{ instance, incarnation, availabilityZone, service },
     };
-    this.#evacuations.onChange((change) => this.#logEvacuations(change));
+    this.#evacuations = new EvacuationRelay({
+      ...{ clock: systemClock, events },
+      onNews: (report, from) => {
+        this.#relayToOthers(report, from);
+        this.#controller.admitQueued();
+      },
+    });
     this.#listener = new Listener(
       { identity, fleetKey },
       {
@@ -145,13 +144,13 @@
       onOrigin: (notice) => this.#noteOrigin(notice),
       findOrigin: (query) => this.#findOrigin(query),
       onServerNotice: (report) => this.#relayNotice(report, session),
-      onEvacuations: (report) => this.#learnEvacuations(report, session),
+      onEvacuations: (report) => this.#evacuations.receive(report, session),
       onOtherLimit: (notice) => this.#relayToOthers(notice, session),
     });
     this.#sessions.add(session);
     for (const { start, notice } of this.#notices.current)
       session.sendReport(packNotice(start, notice));
-    this.#sendEvacuations(session);
+    this.#evacuations.tell(session);
     session.sendReport(this.#createReport([...this.#controller.recentUsage]));
     this.#events.info("router-connected", { router: instance });
     await session.serve();
@@ -181,41 +180,6 @@
     if (this.#notices.note(start, notice)) this.#relayToOthers(report, from);
   }
 
-  /** Passes news on; a router that knows an older state is told the newest. */
-  #learnEvacuations(report: EvacuationsReport, from: RouterSession): void {
-    const learnt = this.#evacuations.learn(unpackEvacuations(report), "relay");
-    switch (learnt) {
-      case "news":
-        this.#relayToOthers(report, from);
-        this.#controller.admitQueued();
-        return;
-      case "outdated":
-        this.#sendEvacuations(from);
-        return;
-      case "known":
-        return;
-      default:
-        learnt satisfies never;
-    }
-  }
-
-  #sendEvacuations(session: RouterSession): void {
-    const { current } = this.#evacuations;
-    if (current !== null) session.sendReport(packEvacuations(current));
-  }
-
-  get #isEmptied(): boolean {
-    return this.#evacuations.isEmptied(this.#settings.availabilityZone);
-  }
-
-  #logEvacuations({ emptied, returned, source, ageMs }: EvacuationChange) {
-    const fields = { source, ageMs: Math.round(ageMs) };
-    for (const zone of emptied)
-      this.#events.info("zone-emptied", { zone, ...fields });
-    for (const zone of returned)
-      this.#events.info("zone-returned", { zone, ...fields });
-  }
-
   #relayToOthers(report: RelayedReport, from: RouterSession): void {
     for (const session of this.#sessions) {
       if (session !== from) session.sendReport(report);
