--- a/src/scheduling/open_servers.ts
+++ b/src/scheduling/open_servers.ts
@@ -35,7 +35,7 @@
   }
 
   /** Whether no zone is emptied. */
-  get isWhole(): boolean {
+  get hasAllZones(): boolean {
     return this.#evacuations.isEmpty;
   }
 
@@ -72,7 +72,7 @@
 
   /** Leaves out servers in emptied zones. */
   withoutEvacuated(loads: readonly ServerLoad[]): readonly ServerLoad[] {
-    if (this.isWhole) return loads;
+    if (this.hasAllZones) return loads;
     return loads.filter(({ server }) => !this.isEvacuated(server));
   }
 
--- a/src/scheduling/server_loads.ts
+++ b/src/scheduling/server_loads.ts
@@ -140,7 +140,7 @@
 
   /** Whether a request may be without a server while its service has some. */
   isRestricted({ version, zones }: Demand): boolean {
-    return version !== null || zones !== null || !this.open.isWhole;
+    return version !== null || zones !== null || !this.open.hasAllZones;
   }
 
   /** Why no server is left that a request may be sent to; null if one is. */
--- a/tests/on_platform/emptied_zones_test.ts
+++ b/tests/on_platform/emptied_zones_test.ts
@@ -34,14 +34,16 @@
 let arrivedAtMs: Record<"a" | "b", number[]>;
 let scripts: Record<"a" | "b", Script>;
 
-beforeEach(async () => {
+beforeEach(() => startFleet({ evacuateMs: EVACUATION_MS }));
+
+async function startFleet(bounds: object): Promise<void> {
   const route = createWireRoute({
     ...{ kind: "idempotent", service: "n", authExempt: true, maxAttempts: 2 },
     ...{ targetLatencyMs: 1_000 },
   });
   fleet = await ProgramFleet.start({
     configuration: createWireConfiguration({ routes: [route] }),
-    bounds: { evacuateMs: EVACUATION_MS, retrySlack: 1_000 },
+    bounds: { retrySlack: 1_000, ...bounds },
   });
   arrivedAtMs = { a: [], b: [] };
   scripts = { a: respondWith(), b: respondWith() };
@@ -54,7 +56,7 @@
     };
     await fleet.addServer(script, { zone });
   }
-});
+}
 
 afterEach(() => fleet.close());
 
@@ -189,3 +191,13 @@
   assert.equal(arrivalsAfter("a", acknowledgedAtMs + EVACUATION_MS), 0);
   assert.ok(arrivalsAfter("b", acknowledgedAtMs + EVACUATION_MS) > 0);
 });
+
+test("without the bound in its settings, a router doesn't ask for emptied zones", async () => {
+  await fleet.close();
+  await startFleet({});
+  fleet.store.put(KIND, "a", {});
+  const router = await fleet.startRouter();
+  await callFor([router], 300);
+  assert.ok(arrivedAtMs.a.length > 0);
+  assert.deepEqual(eventsOf(router, "zone-emptied"), []);
+});
