--- a/src/admission/admission_process.ts
+++ b/src/admission/admission_process.ts
@@ -49,10 +49,12 @@
   readonly #events: EventLog;
   /** Notices of all servers, for routers that connect later. */
   readonly #notices = new ServerNotices(systemClock);
-  readonly #evacuations: EvacuationRelay<RouterSession>;
+  readonly #evacuationRelay: EvacuationRelay<RouterSession>;
   readonly #controller = new AdmissionController(systemClock, this.#notices, {
     isEmptied: () =>
-      this.#evacuations.isEmptied(this.#settings.availabilityZone),
+      this.#evacuationRelay.evacuations.isEmptied(
+        this.#settings.availabilityZone,
+      ),
   });
   /** Beginnings of streams at all servers, for routers to find. */
   readonly #origins = new OriginMemory(systemClock);
@@ -83,7 +85,7 @@
       role: "side-process",
       ...{ instance, incarnation, availabilityZone, service },
     };
-    this.#evacuations = new EvacuationRelay({
+    this.#evacuationRelay = new EvacuationRelay({
       ...{ clock: systemClock, events },
       onNews: (report, from) => {
         this.#relayToOthers(report, from);
@@ -144,13 +146,13 @@
       onOrigin: (notice) => this.#noteOrigin(notice),
       findOrigin: (query) => this.#findOrigin(query),
       onServerNotice: (report) => this.#relayNotice(report, session),
-      onEvacuations: (report) => this.#evacuations.receive(report, session),
+      onEvacuations: (report) => this.#evacuationRelay.receive(report, session),
       onOtherLimit: (notice) => this.#relayToOthers(notice, session),
     });
     this.#sessions.add(session);
     for (const { start, notice } of this.#notices.current)
       session.sendReport(packNotice(start, notice));
-    this.#evacuations.tell(session);
+    this.#evacuationRelay.tell(session);
     session.sendReport(this.#createReport([...this.#controller.recentUsage]));
     this.#events.info("router-connected", { router: instance });
     await session.serve();
--- a/src/admission/evacuation_relay.ts
+++ b/src/admission/evacuation_relay.ts
@@ -26,22 +26,18 @@
 /** Keeps the newest state that any router has told. */
 export class EvacuationRelay<R extends EvacuationReceiver> {
   readonly #deps: EvacuationRelayDependencies<R>;
-  readonly #evacuations: ZoneEvacuations;
+  /** The newest state; its listeners are called before `onNews`. */
+  readonly evacuations: ZoneEvacuations;
 
   constructor(deps: EvacuationRelayDependencies<R>) {
     this.#deps = deps;
-    this.#evacuations = new ZoneEvacuations(deps.clock);
-    this.#evacuations.onChange((change) => this.#log(change));
-  }
-
-  /** Whether a zone's engines get no requests. */
-  isEmptied(availabilityZone: string): boolean {
-    return this.#evacuations.isEmptied(availabilityZone);
+    this.evacuations = new ZoneEvacuations(deps.clock);
+    this.evacuations.onChange((change) => this.#log(change));
   }
 
   /** Passes news on; a router that knows an older state is told the newest. */
   receive(report: EvacuationsReport, from: R): void {
-    const learnt = this.#evacuations.learn(unpackEvacuations(report), "relay");
+    const learnt = this.evacuations.learn(unpackEvacuations(report), "relay");
     switch (learnt) {
       case "news":
         this.#deps.onNews(report, from);
@@ -58,7 +54,7 @@
 
   /** Tells a router what is known, if anything is. */
   tell(router: R): void {
-    const { current } = this.#evacuations;
+    const { current } = this.evacuations;
     if (current !== null) router.sendReport(packEvacuations(current));
   }
 
--- a/src/direct/shared_evacuations.ts
+++ b/src/direct/shared_evacuations.ts
@@ -25,7 +25,7 @@
   serversIn(zone: string): number;
   /** Tells other routers, and the controllers in the zones that have changed. */
   share(report: EvacuationsReport, changed: ReadonlySet<string>): void;
-  /** Moves waiting requests away from the servers. */
+  /** Called after all listeners of a change; moves waiting requests. */
   onChange(): void;
 }
 
@@ -52,7 +52,9 @@
 
   /** Adopts a state, unless a newer one is known. */
   learn(state: EvacuationState, source: EvacuationSource): void {
-    this.#deps.evacuations.learn(state, source);
+    const learnt = this.#deps.evacuations.learn(state, source);
+    // Other listeners may have prepared servers that are taken back.
+    if (learnt === "news") this.#deps.onChange();
     this.#markKnown();
   }
 
@@ -89,7 +91,6 @@
     const { report } = this;
     if (report !== null)
       this.#deps.share(report, new Set([...emptied, ...returned]));
-    this.#deps.onChange();
   }
 
   #log(
