--- a/src/admission/admission_process.ts
+++ b/src/admission/admission_process.ts
@@ -88,7 +88,6 @@
       coldBounds: settings.coldStart ?? null,
     });
     const { coldGuard } = this.#controller;
-    const probe = probeEngine;
     this.#monitor =
       probeEngine === undefined
         ? null
