--- a/tests/on_platform/end_to_end_test.ts
+++ b/tests/on_platform/end_to_end_test.ts
@@ -21,6 +21,7 @@
 import { respondCompletely } from "../direct/fixture.ts";
 import {
   DEFAULT_BOUNDS,
+  DEFAULT_MACHINE,
   type Program,
   type Role,
   render,
@@ -65,6 +66,7 @@
     platform: { address: `127.0.0.1:${portOf(storeServer)}` },
     bounds: DEFAULT_BOUNDS,
     zones: { a: "north" },
+    limits: DEFAULT_MACHINE,
   };
 }
 
--- a/tests/on_platform/program_fixture.ts
+++ b/tests/on_platform/program_fixture.ts
@@ -65,6 +65,15 @@
   readonly retryAfterS: number | null;
 }
 
+/** Resources of the machine that a program is told. */
+export const DEFAULT_MACHINE = { memoryMb: 350, maxFds: 4_100 };
+
+/** The machine of a program and the flags of its runtime. */
+export interface ProgramOptions {
+  readonly machine?: typeof DEFAULT_MACHINE;
+  readonly nodeFlags?: readonly string[];
+}
+
 /** What a fleet is started with. */
 export interface ProgramFleetOptions {
   /** Object of the kind `config`, as operators write it. */
@@ -117,6 +126,11 @@
     return fleet;
   }
 
+  /** Port at which admission controllers listen. */
+  get admissionPort(): number {
+    return this.#admissionPort;
+  }
+
   /** The programs' way to the store. */
   get storeProxy(): FaultProxy {
     return this.#storeProxy;
@@ -156,7 +170,7 @@
   }
 
   /** Starts a router and waits until it is ready. */
-  async startRouter(): Promise<RunningRouter> {
+  async startRouter(options: ProgramOptions = {}): Promise<RunningRouter> {
     const [port = 0, readyPort = 0] = await freePorts(2);
     const index = this.#programs.length + 1;
     // The port of the metrics is fixed, so each router has its own address.
@@ -166,7 +180,7 @@
       ready: `127.0.0.1:${readyPort}`,
     };
     const fields = { node: `edge-${index}`, ip, listen };
-    const program = await this.#start("router", fields);
+    const program = await this.#start("router", fields, options);
     const router = { ...program, port, readyPort };
     const holds = async () => (await readiness(router)) === 200;
     await until("the router is ready", TIMEOUT_MS, { holds });
@@ -179,11 +193,11 @@
   }
 
   /** Starts the admission controller of the engines at 127.0.0.1. */
-  async startAdmission(): Promise<Program> {
+  async startAdmission(options: ProgramOptions = {}): Promise<Program> {
     const [server] = this.servers;
     const app = `127.0.0.1:${server?.port ?? 1}`;
     const fields = { node: "side-1", ip: "127.0.0.1", service: "m", app };
-    const program = await this.#start("admission", fields);
+    const program = await this.#start("admission", fields, options);
     await waitForEvent(program, "start");
     return program;
   }
@@ -198,9 +212,14 @@
     await rm(this.#folder, { recursive: true });
   }
 
-  async #start(role: Role, fields: object): Promise<Program> {
+  async #start(
+    role: Role,
+    fields: object,
+    { machine = DEFAULT_MACHINE, nodeFlags = [] }: ProgramOptions,
+  ): Promise<Program> {
     const settings = await render(role, {
       ...{ zone: "a", bounds: this.#bounds, zones: ZONES },
+      limits: machine,
       internalPorts: [this.#admissionPort, this.#admissionPort + 1],
       platform: { address: `127.0.0.1:${this.#storeProxy.port}` },
       ...fields,
@@ -208,15 +227,19 @@
     const path = join(this.#folder, `${role}-${this.#programs.length}.json`);
     await writeFile(path, settings);
     const script = join(ROOT, "dist", "platform", `${role}_main.js`);
-    const program = spawnProgram(script, path);
+    const program = spawnProgram(script, path, nodeFlags);
     this.#programs.push(program);
     return program;
   }
 }
 
 /** Starts a program of the platform with a settings file. */
-export function spawnProgram(script: string, settingsPath: string): Program {
-  const child = spawn(process.execPath, [script], {
+export function spawnProgram(
+  script: string,
+  settingsPath: string,
+  nodeFlags: readonly string[] = [],
+): Program {
+  const child = spawn(process.execPath, [...nodeFlags, script], {
     env: { ...process.env, ORIOLEROUTER_BOOT: settingsPath },
     stdio: ["ignore", "pipe", "inherit"],
   });
