Routers bound what callers make them hold; unproven peers and probes, too

Cause: a body was kept as one object for each of its chunks (350 bytes for a chunk of one byte), without a limit over all callers, also without a valid key; an unproven peer of the fleet's protocol could send 16 MB. The parser queued the chunks, too, while a request waited for the overload guard.

Change (docs/design/uploads.md): bodies are read from the first byte into one buffer; HeldBytes counts bodies, connections, requests, heads and unread responses against a fifth of the machine's memory. When it is full, what makes no progress yields, then the latest of the team or address that holds most. Requests that their heads reject are answered at once. Connections are bounded by descriptors. Handshakes take 128 KB, operators' endpoints 64 connections.

--- a/src/admin/server.ts
+++ b/src/admin/server.ts
@@ -1,9 +1,10 @@
 /** HTTP endpoints for operators of one process, on a separate port. */
 
 import { timingSafeEqual } from "node:crypto";
-import type { IncomingMessage, ServerResponse } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { ServiceBroker } from "moleculer";
 import ApiGateway from "moleculer-web";
+import { capConnections } from "../common/connection_cap.ts";
 import type { MetricsRegistry } from "../metrics/mod.ts";
 
 /** Where the endpoints get their answers. */
@@ -49,6 +50,10 @@
       port: settings.port,
       routes: [{ path: "/", aliases: aliases(settings, sources) }],
     },
+    started() {
+      const { server } = this as unknown as { server: Server };
+      capConnections(server);
+    },
   });
   return broker;
 }
--- a/src/direct/admit.ts
+++ b/src/direct/admit.ts
@@ -3,7 +3,7 @@
 import type { IncomingMessage } from "node:http";
 import { err, ok, type Result } from "neverthrow";
 import { badRequest, type Failure, notRun } from "../router/failure.ts";
-import { readBody } from "../router/request_body.ts";
+import type { Upload } from "../router/upload.ts";
 import {
   destinationOf,
   type Route,
@@ -45,6 +45,8 @@
   readonly arrivedMs: number;
   /** Updated by `admit`. */
   readonly logFields: RequestLogFields;
+  /** The request's body; its owner closes it. */
+  readonly upload: Upload;
 }
 
 /** A request that has passed all checks and can be scheduled. */
@@ -94,7 +96,14 @@
     const sentence = `Request headers exceed the limit of ${limitBytes} bytes`;
     return err(badRequest(431, "headers-too-long", { sentence }));
   }
-  const body = await readBody(request, bodyBytes);
+  // The body of a request that is rejected anyway isn't kept.
+  const earlyRoute = routeOf(table, request);
+  if (earlyRoute.isErr()) return err(earlyRoute.error);
+  options.logFields.route = earlyRoute.value.name;
+  const team = teamOf(table, earlyRoute.value, terms.value);
+  if (team.isErr()) return err(team.error);
+  const group = team.value ?? request.socket.remoteAddress ?? "";
+  const body = await options.upload.read({ limitBytes: bodyBytes, group });
   if (body.isErr()) return err(body.error);
   // Reading the body may take long: use the configuration in force now.
   const read = { terms: terms.value, body: body.value };
--- a/src/direct/caller_response.ts
+++ b/src/direct/caller_response.ts
@@ -37,6 +37,12 @@
 }
 
 const MS_PER_SECOND = 1_000;
+/**
+ * Time for which a connection stays open after a refusal that closes it while
+ * the request's body still arrives. Closing it with unread bytes would reset it,
+ * and the caller might not get the refusal.
+ */
+const REFUSAL_READ_MS = 1_000;
 /**
  * Time that a caller is given to read the last bytes of a response that only a
  * reset shows to be truncated. Many runtimes take a reset that they read together
@@ -46,6 +52,7 @@
 
 /** Writes one response and detects a disconnect of its caller. */
 export class CallerResponse {
+  readonly #request: IncomingMessage;
   readonly #response: ServerResponse;
   readonly #socket: Socket;
   readonly #options: CallerResponseOptions;
@@ -59,6 +66,7 @@
     response: ServerResponse,
     options: CallerResponseOptions,
   ) {
+    this.#request = request;
     this.#response = response;
     this.#options = options;
     const { socket } = request;
@@ -184,7 +192,25 @@
         ? {}
         : { "retry-after": dialect.retryAfter(failure.retryAfterMs) }),
     });
-    this.#response.end(body);
+    this.#endAfterBody(body);
+  }
+
+  /** Ends a failure, once its request's body has ended if the connection closes. */
+  #endAfterBody(text: string): void {
+    const request = this.#request;
+    const response = this.#response;
+    if (request.complete || response.shouldKeepAlive) {
+      response.end(text);
+      return;
+    }
+    response.write(text);
+    const end = () => {
+      clearTimeout(timer);
+      if (!response.writableEnded) response.end();
+    };
+    const timer = setTimeout(end, REFUSAL_READ_MS);
+    request.once("end", end);
+    request.once("close", end);
   }
 
   /** Node announces the limit that held when the request arrived. */
--- a/src/direct/caller_server.ts
+++ b/src/direct/caller_server.ts
@@ -14,6 +14,7 @@
 import type { CallerLimits } from "../routing/mod.ts";
 import { SHORT_RETRY_AFTER_MS, withJitter } from "../scheduling/mod.ts";
 import type { ListenAddress } from "../transport/mod.ts";
+import { CallerConnections } from "./caller_connections.ts";
 import { Exchange, type ExchangeDependencies } from "./exchange.ts";
 
 /** Limit of the HTTP parser itself, above any configured limit. */
@@ -45,6 +46,7 @@
   /** Exchanges whose responses aren't flushed, by open connection. */
   readonly #unflushed = new Map<net.Socket, Set<Exchange>>();
   readonly #guard: OverloadGuard;
+  readonly #connections: CallerConnections;
   readonly #processorShare: ProcessorShare;
   #stage: Stage = "open";
   /** Requests refused as overloaded since the last log line. */
@@ -52,8 +54,12 @@
   /** Connections closed unread until the last log line. */
   #shedBefore = 0;
 
-  constructor(deps: ExchangeDependencies) {
-    const { clock } = deps;
+  /** @param maxConnections callers' connections that may be open at once */
+  constructor(
+    deps: ExchangeDependencies,
+    { maxConnections }: { readonly maxConnections: number },
+  ) {
+    const { clock, held, metrics } = deps;
     this.#deps = deps;
     this.#processorShare = new ProcessorShare(clock);
     const options = {
@@ -68,6 +74,11 @@
       this.#unflushed.set(socket, new Set());
       socket.once("close", () => this.#unflushed.delete(socket));
     });
+    this.#connections = new CallerConnections(this.#server, {
+      ...{ held, limit: maxConnections },
+      onClose: (reason) =>
+        metrics.count("oriole_closed_connections_total", { reason }),
+    });
     this.#guard = new OverloadGuard(this.#server, {
       clock,
       backlog: ACCEPT_BACKLOG,
@@ -137,7 +148,11 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    // Requests that a connection has sent before it was closed.
+    if (request.socket.destroyed) return;
     const exchange = new Exchange(this.#deps, request, response);
+    const bodyBytes = () => exchange.bodyBytes;
+    const freeRequest = this.#connections.openRequest({ request, bodyBytes });
     if (this.#stage !== "open") exchange.response.disableKeepAlive();
     this.#exchanges.add(exchange);
     const unflushed = this.#unflushed.get(request.socket);
@@ -149,6 +164,7 @@
     });
     try {
       if (this.#stage === "closed") exchange.refuse("stopping");
+      else if (freeRequest === null) exchange.refuse("no-memory");
       else await this.#runUnlessOverloaded(exchange);
     } catch (error) {
       // A bug in one exchange must not end the process and other requests.
@@ -156,6 +172,8 @@
       this.#deps.events.error("defect", { message, stack });
       exchange.response.reset();
     } finally {
+      exchange.close();
+      freeRequest?.();
       this.#exchanges.delete(exchange);
     }
   }
--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -36,7 +36,9 @@
 import { ConnectionPool } from "./connection_pool.ts";
 import { CrashGuard } from "./crash_guard.ts";
 import type { Dialect } from "./dialect.ts";
+import type { ExchangeDependencies } from "./exchange.ts";
 import { HealthLog, type Readiness } from "./health_log.ts";
+import { MemoryBudget, maxConnectionsOf } from "./memory_budget.ts";
 import { MonitoringEndpoint } from "./monitoring_endpoint.ts";
 import { RetryBudget, type RetryLimits } from "./retry_budget.ts";
 import { type DirectRouterSettings, parseAddress } from "./settings.ts";
@@ -92,6 +94,7 @@
   readonly #callerServer: CallerServer;
   readonly #readyEndpoint: MonitoringEndpoint;
   readonly #metricsEndpoint: MonitoringEndpoint;
+  readonly #memory: MemoryBudget;
   readonly #teamTally = new TeamTally();
   readonly #profile: EventLoopProfile;
   readonly #healthLog: HealthLog;
@@ -179,8 +182,12 @@
         this.#admissionClients.shareRequestLimit(server, observation),
     });
     this.#retryBudget = new RetryBudget(clock, retryLimitsOf(retries));
-    this.#callerServer = new CallerServer({
+    this.#memory = new MemoryBudget(settings, {
+      ...{ clock, events, metrics: this.#metrics },
+    });
+    const callerDeps: ExchangeDependencies = {
       ...{ clock, events, dialect, configuration: this.configuration },
+      held: this.#memory.held,
       scheduler: this.#scheduler,
       pool: this.#pool,
       retryBudget: this.#retryBudget,
@@ -198,6 +205,9 @@
       teamShares: new TeamShares(clock),
       callerWaits: new CallerWaitEstimator(),
       zoneRegions: this.#zoneRegions,
+    };
+    this.#callerServer = new CallerServer(callerDeps, {
+      maxConnections: maxConnectionsOf(settings),
     });
     const sources = {
       ready: () => this.#isReady(),
@@ -241,6 +251,7 @@
     this.#teamLogTimer = setInterval(() => {
       this.#logTeams();
       this.#healthLog.logEventLoop();
+      this.#memory.log();
     }, TEAM_LOG_INTERVAL_MS);
     this.#profile.start();
     this.#events.info("start", { instance, entry });
--- a/src/direct/exchange.ts
+++ b/src/direct/exchange.ts
@@ -1,6 +1,7 @@
 /** Serves one caller's request, from its headers to the end of its response. */
 
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { HeldBytes } from "../common/held_bytes.ts";
 import type { TeamShares, TeamTally } from "../fairness/mod.ts";
 import type { MetricsRegistry } from "../metrics/registry.ts";
 import type { StreamOrigin } from "../origins/mod.ts";
@@ -10,6 +11,7 @@
   notRun,
   outcomeUnknown,
 } from "../router/failure.ts";
+import { Upload } from "../router/upload.ts";
 import type { ZoneRegions } from "../routing/mod.ts";
 import {
   costOf,
@@ -47,6 +49,7 @@
   "configuration-too-old",
   "keys-too-old",
   "overloaded",
+  "no-memory",
 ]);
 /**
  * A caller that states less than the longest timeout of its route, by more than
@@ -60,6 +63,9 @@
  */
 const SLOW_UPLOAD_MS = 200;
 
+/** Longest body that is read until a configuration with its limit is known. */
+const UNKNOWN_LIMIT_BYTES = 4 * 1024 * 1024;
+
 /** Dependencies of an exchange. */
 export interface ExchangeDependencies extends RequestSenderDependencies {
   readonly configuration: ConfigurationState;
@@ -68,6 +74,8 @@
   readonly teamShares: TeamShares;
   readonly callerWaits: CallerWaitEstimator;
   readonly zoneRegions: ZoneRegions;
+  /** Memory for what callers have sent. */
+  readonly held: HeldBytes;
 }
 
 /** How an unread request is refused. */
@@ -89,6 +97,7 @@
   readonly #response: CallerResponse;
   readonly #cancel = new AbortController();
   readonly #record: RequestRecord;
+  readonly #upload: Upload;
   #deadlineTimer: NodeJS.Timeout | null = null;
   #hasReadTerms = false;
   /** Time that the caller states, once `#readTerms` has read it. */
@@ -106,6 +115,10 @@
       idleTimeoutMs: () => configuration.table?.limits.idleTimeoutMs ?? null,
     });
     this.#record = new RequestRecord(deps);
+    this.#upload = new Upload(request, deps.held, {
+      limitBytes: configuration.table?.limits.bodyBytes ?? UNKNOWN_LIMIT_BYTES,
+      group: request.socket.remoteAddress ?? "",
+    });
   }
 
   /** The response, on which the caller server disables keep-alive. */
@@ -138,6 +151,7 @@
     const admitted = await admit(this.#deps, this.#request, {
       arrivedMs: this.#record.arrivedMs,
       logFields: this.#record.logFields,
+      upload: this.#upload,
     });
     const uploadMs = clock.monotonicMs() - startedMs;
     if (admitted.isErr()) this.#fail(admitted.error);
@@ -151,6 +165,16 @@
     this.#record.finish(this.#response.status);
   }
 
+  /** Bytes of the request's body that were received. */
+  get bodyBytes(): number {
+    return this.#upload.sizeBytes;
+  }
+
+  /** Frees what the request holds; call it once it has ended. */
+  close(): void {
+    this.#upload.close();
+  }
+
   /** Ends a request whose caller left before it was read. */
   drop(): void {
     this.#readTerms();
--- a/src/direct/monitoring_endpoint.ts
+++ b/src/direct/monitoring_endpoint.ts
@@ -1,9 +1,13 @@
 /** HTTP endpoint for readiness probes and metrics. */
 
 import { createServer, type Server } from "node:http";
+import { capConnections } from "../common/connection_cap.ts";
 import { listen } from "../common/listen.ts";
 import type { ListenAddress } from "../transport/mod.ts";
 
+/** Interval of the check for requests that don't end. */
+const TIMEOUT_CHECK_INTERVAL_MS = 1_000;
+
 /** Values that the endpoint serves. */
 export interface MonitoringSources {
   /** Whether the router is ready for new connections. */
@@ -17,7 +21,8 @@
   readonly #server: Server;
 
   constructor(sources: MonitoringSources) {
-    this.#server = createServer((request, response) => {
+    const options = { connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS };
+    this.#server = createServer(options, (request, response) => {
       switch (request.url) {
         case "/ready":
           response.statusCode = sources.ready() ? 200 : 503;
@@ -32,6 +37,7 @@
           response.end();
       }
     });
+    capConnections(this.#server);
   }
 
   /** Starts listening. Rejects if the address can't be bound. */
--- a/src/direct/settings.ts
+++ b/src/direct/settings.ts
@@ -33,6 +33,10 @@
   readonly evacuationMs?: number;
   /** Region of each availability zone. */
   readonly zoneRegions?: Readonly<Record<string, string>>;
+  /** Memory of the machine for this process, in MB. */
+  readonly memoryMb?: number;
+  /** File descriptors that the process may have open. */
+  readonly descriptors?: number;
   readonly retries: {
     /** Retries per request. */
     readonly ratio: number;
@@ -71,6 +75,8 @@
     noticeMs: amount,
     evacuationMs: amount,
     zoneRegions: { type: "object", additionalProperties: text },
+    memoryMb: amount,
+    descriptors: amount,
     retries: {
       type: "object",
       required: ["ratio", "windowSeconds", "slack"],
--- a/src/router/entry.ts
+++ b/src/router/entry.ts
@@ -4,14 +4,16 @@
 import type { ServiceBroker } from "moleculer";
 import ApiGateway from "moleculer-web";
 import { err, ok, type Result } from "neverthrow";
+import { systemClock } from "../common/clock.ts";
 import { messageOf } from "../common/error_message.ts";
+import { HeldBytes } from "../common/held_bytes.ts";
 import { logger } from "../common/log.ts";
 import type { Service } from "../configuration/mod.ts";
 import { CallerResponse } from "./caller_response.ts";
 import { badRequest, type Failure } from "./failure.ts";
-import { readBody } from "./request_body.ts";
 import type { RequestDispatcher } from "./request_dispatcher.ts";
 import type { RequestReader, RequestTarget } from "./request_reader.ts";
+import { Upload } from "./upload.ts";
 
 const log = logger("router");
 
@@ -21,6 +23,8 @@
 const MAX_CHAT_BODY_BYTES = 8 * 1024 * 1024;
 /** Time a caller has to send a request's headers and body. */
 const REQUEST_TIMEOUT_MS = 60_000;
+/** Memory for bodies: those of 16 chats of the largest size. */
+const HELD_LIMIT_BYTES = 16 * MAX_CHAT_BODY_BYTES;
 
 /** Dependencies of the entry point. */
 export interface EntryDependencies {
@@ -37,10 +41,17 @@
   { host, port }: { readonly host: string; readonly port: number },
 ): void {
   let requests = 0;
+  const held = new HeldBytes(systemClock, { limitBytes: HELD_LIMIT_BYTES });
   const handle = (request: IncomingMessage, response: ServerResponse) => {
     requests += 1;
-    const exchange = new Exchange(deps, { request, response }, requests);
-    void exchange.run().catch((error) => {
+    const upload = new Upload(request, held, {
+      limitBytes: MAX_CHAT_BODY_BYTES,
+      group: request.socket.remoteAddress ?? "",
+    });
+    const arrived = { request, response, upload };
+    const exchange = new Exchange(deps, arrived, requests);
+    const end = exchange.run().finally(() => upload.close());
+    void end.catch((error) => {
       // An unexpected error must not stop the process and fail the requests of
       // other callers.
       log.error(`Unexpected error in a request: ${(error as Error).stack}`);
@@ -75,9 +86,10 @@
   });
 }
 
-interface RequestAndResponse {
+interface ArrivedRequest {
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
+  readonly upload: Upload;
 }
 
 interface ParsedRequest {
@@ -90,18 +102,20 @@
   readonly #deps: EntryDependencies;
   readonly #request: IncomingMessage;
   readonly #response: CallerResponse;
+  readonly #upload: Upload;
   readonly #url: string;
   readonly #id: string;
   readonly #number: number;
 
   constructor(
     deps: EntryDependencies,
-    { request, response }: RequestAndResponse,
+    { request, response, upload }: ArrivedRequest,
     number: number,
   ) {
     this.#deps = deps;
     this.#request = request;
     this.#number = number;
+    this.#upload = upload;
     this.#id = `${deps.incarnation}-${number}`;
     this.#response = new CallerResponse(response, this.#id);
     this.#url =
@@ -113,7 +127,7 @@
     const { reader, dispatcher } = this.#deps;
     const team = reader.authenticate(this.#request);
     if (team.isErr()) return this.#response.fail(team.error);
-    const read = await this.#read();
+    const read = await this.#read(team.value.name);
     if (read.isErr()) return this.#response.fail(read.error);
     const { target, body } = read.value;
     const admitted = reader.admit(
@@ -130,9 +144,10 @@
     await dispatcher.serve(identified, this.#response);
   }
 
-  async #read(): Promise<Result<ParsedRequest, Failure>> {
+  async #read(group: string): Promise<Result<ParsedRequest, Failure>> {
     const [path] = this.#url.split("?");
-    if (this.#url.startsWith(SERVICES_PREFIX)) return await this.#readPlain();
+    if (this.#url.startsWith(SERVICES_PREFIX))
+      return await this.#readPlain(group);
     if (path !== CHAT_PATH) {
       const sentence = `Path "${path}" is not known`;
       return err(badRequest(404, "unknown-path", { sentence }));
@@ -141,17 +156,18 @@
       const sentence = `Method must be POST for "${path}"`;
       return err(badRequest(405, "bad-method", { sentence }));
     }
-    return await this.#readChat();
+    return await this.#readChat(group);
   }
 
-  async #readPlain(): Promise<Result<ParsedRequest, Failure>> {
+  async #readPlain(group: string): Promise<Result<ParsedRequest, Failure>> {
     const rest = this.#url.slice(SERVICES_PREFIX.length);
     const [, name = "", path = ""] = /^([^/?]*)(.*)$/.exec(rest) ?? [];
     const service = this.#deps.reader
       .service(decodeServiceName(name))
       .andThen((found) => requireType(found, "plain"));
     if (service.isErr()) return err(service.error);
-    const body = await readBody(this.#request, service.value.maxBodyBytes);
+    const limitBytes = service.value.maxBodyBytes;
+    const body = await this.#upload.read({ limitBytes, group });
     const target = {
       service: service.value.name,
       path: path.startsWith("/") ? path : `/${path}`,
@@ -159,9 +175,10 @@
     return body.map((body) => ({ target, body }));
   }
 
-  async #readChat(): Promise<Result<ParsedRequest, Failure>> {
+  async #readChat(group: string): Promise<Result<ParsedRequest, Failure>> {
     const { reader } = this.#deps;
-    const body = await readBody(this.#request, MAX_CHAT_BODY_BYTES);
+    const limitBytes = MAX_CHAT_BODY_BYTES;
+    const body = await this.#upload.read({ limitBytes, group });
     if (body.isErr()) return err(body.error);
     const model = readModel(body.value);
     if (model.isErr()) return err(model.error);
--- a/src/transport/connection.ts
+++ b/src/transport/connection.ts
@@ -14,6 +14,11 @@
 
 /** Large enough for the largest body and its headers. */
 const MAX_PAYLOAD_BYTES = 16 * 1024 * 1024;
+/**
+ * Bytes that a peer may send before it has proved that it knows the fleet key.
+ * The proof may come in one read of 64 KB with the messages after it.
+ */
+const UNPROVEN_LIMIT_BYTES = 128 * 1024;
 /** Heartbeat interval while requests are in flight. */
 const BUSY_HEARTBEAT_MS = 500;
 /** Longest heartbeat interval while no requests are in flight. */
@@ -55,6 +60,7 @@
   readonly #decoder = new FrameDecoder(MAX_PAYLOAD_BYTES);
   readonly #received = new AsyncQueue<Message>();
   #peer: Identity | null = null;
+  #unprovenBytes = 0;
   #idleHeartbeatMs = IDLE_HEARTBEAT_MS;
   #busy = false;
   #corked = false;
@@ -189,6 +195,13 @@
 
   #receive(chunk: Buffer): void {
     this.#lastReceivedMs = this.#owner.clock.monotonicMs();
+    if (this.#peer === null) {
+      this.#unprovenBytes += chunk.length;
+      if (this.#unprovenBytes > UNPROVEN_LIMIT_BYTES) {
+        this.close("Peer sent too much before its proof");
+        return;
+      }
+    }
     const payloads = this.#decoder.push(chunk);
     if (payloads.isErr()) {
       this.close(
--- a/src/transport/listener.ts
+++ b/src/transport/listener.ts
@@ -8,6 +8,12 @@
 
 const log = logger("link");
 
+/**
+ * Handshakes in progress at once. Hundreds of processes may connect together
+ * after a restart; each handshake takes some milliseconds.
+ */
+const MOST_HANDSHAKES = 512;
+
 /** Address of a listener. */
 export interface ListenAddress {
   readonly host: string;
@@ -18,6 +24,8 @@
 export class Listener {
   readonly #server: Server;
   readonly #open = new Set<Connection>();
+  /** Connections whose peers haven't proved who they are, oldest first. */
+  readonly #unproven = new Set<Connection>();
 
   constructor(
     credentials: Credentials,
@@ -49,7 +57,9 @@
     serve: (connection: Connection) => Promise<void>,
   ): Promise<void> {
     const { remoteAddress } = connection;
+    this.#addUnproven(connection);
     const peer = await handshake(connection, "listener", credentials);
+    this.#unproven.delete(connection);
     if (peer.isErr()) {
       const reason = connection.closeReason ?? peer.error;
       connection.close(reason);
@@ -62,4 +72,13 @@
     this.#open.delete(connection);
     connection.close("Serving of the connection has ended");
   }
+
+  #addUnproven(connection: Connection): void {
+    this.#unproven.add(connection);
+    if (this.#unproven.size <= MOST_HANDSHAKES) return;
+    const [oldest] = this.#unproven;
+    if (oldest === undefined) return;
+    this.#unproven.delete(oldest);
+    oldest.close("Too many handshakes are in progress");
+  }
 }
--- a/tests/direct/fixture.ts
+++ b/tests/direct/fixture.ts
@@ -53,6 +53,8 @@
   readonly configurationMs?: number;
   /** How often the configuration is confirmed, in ms; 100 by default. */
   readonly confirmIntervalMs?: number;
+  /** Memory of the machine, in MB; the product's default if absent. */
+  readonly memoryMb?: number;
   /** Software version of each server; `v1` by default. */
   readonly versions?: readonly string[];
 }
@@ -89,6 +91,7 @@
     configurationMs = 2_000,
     confirmIntervalMs = 100,
     retries = { ratio: 1, windowSeconds: 10, slack: 100 },
+    memoryMb,
   }: Omit<RouterFixtureOptions, "scripts">,
 ): Promise<RouterFixture> {
   const [port = 0, readyPort = 0] = await freePorts(2);
@@ -105,6 +108,7 @@
       revocationMs,
       ...{ configurationMs, noticeMs: 3_000 },
       retries,
+      ...(memoryMb === undefined ? {} : { memoryMb }),
     },
     { events, dialect: headerDialect },
   );
