--- a/src/direct/caller_server.ts
+++ b/src/direct/caller_server.ts
@@ -91,6 +91,11 @@
     return this.#exchanges.size;
   }
 
+  /** Number of open connections. */
+  get connections(): number {
+    return this.#connections.size;
+  }
+
   /** Whether a request is in progress or a response isn't flushed. */
   get isBusy(): boolean {
     if (this.#exchanges.size > 0) return true;
--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -337,6 +337,10 @@
       "oriole_accept_queue_standing_seconds",
       () => this.#callerServer.standingQueueMs / MS_PER_SECOND,
     );
+    registry.gauge(
+      "oriole_caller_connections",
+      () => this.#callerServer.connections,
+    );
     registry.gauge("oriole_waiting_requests", () => this.waiting);
     registry.gauge(
       "oriole_server_connections",
--- a/tests/on_platform/held_memory_test.ts
+++ b/tests/on_platform/held_memory_test.ts
@@ -25,6 +25,7 @@
   type Program,
   ProgramFleet,
   type RunningRouter,
+  readiness,
   respondWith,
 } from "./program_fixture.ts";
 import {
@@ -254,6 +255,18 @@
     pieces: () => ["POST /n/x HTTP/1.1\r\n", "a:b\r\n".repeat(12_000)],
   }));
 
+test("heads that don't end, to the readiness endpoint", async () => {
+  await startRouter();
+  crowd = await Crowd.open(router.readyPort, {
+    connections: HEADS,
+    pieces: () => ["GET /ready HTTP/1.1\r\n", "a:b\r\n".repeat(2_000)],
+  });
+  await waitUntilRead(router.readyPort);
+  await checkHoldings(router, router.readyPort);
+  assert.equal(await readiness(router), 200);
+  await checkOrdinaryCaller();
+});
+
 test("pipelined requests whose responses don't come", () => {
   const one = head("/n/never", { lines: ["Content-Length: 0"] });
   return withstand({
