A request counts until its response is flushed, and costs 32 KB

held_memory_test "pipelined requests whose responses don't come" ended the router once in a whole run of the file on 8 KB a request (heap of 64 MB full), after two runs that passed. Cause: refused requests kept their place in the connection's queue of responses and weren't counted, and 8 KB each is more than the heap has beside the router. Requests are counted until their responses close; while memory is short, a connection with other requests in progress is closed instead of getting a refusal that can't be sent.

--- a/src/direct/caller_connections.ts
+++ b/src/direct/caller_connections.ts
@@ -8,10 +8,10 @@
 /** Memory of a connection with its parser: 10 KB with an idle connection. */
 const CONNECTION_BYTES = 12 * 1_024;
 /**
- * Memory of a request in progress besides its body, and of a backend response of
- * which one read is passed on.
+ * Memory of a request besides its body until its response is flushed. It lies in
+ * the heap, which has a smaller limit than the machine.
  */
-const REQUEST_BYTES = 8 * 1_024;
+const REQUEST_BYTES = 32 * 1_024;
 /** What a response of which the caller reads nothing keeps besides its queue. */
 const UNREAD_RESPONSE_BYTES = 64 * 1_024;
 /**
@@ -80,7 +80,7 @@
 
   /**
    * Takes memory for a request. Returns a function that frees it, null if there
-   * is no memory; a connection with many requests in progress is closed then.
+   * is no memory; a connection with other requests in progress is closed then.
    */
   openRequest(arriving: ArrivingRequest): (() => void) | null {
     const { socket } = arriving.request;
@@ -88,7 +88,8 @@
     if (connection === undefined || socket.destroyed) return null;
     const { holding } = connection;
     if (!holding.grow(holding.bytes + REQUEST_BYTES)) {
-      if (connection.requests >= MOST_PIPELINED) this.#close(socket);
+      // Refusals would queue behind the responses before them.
+      if (connection.requests > 0) this.#close(socket);
       return null;
     }
     connection.requests += 1;
--- a/src/direct/caller_server.ts
+++ b/src/direct/caller_server.ts
@@ -165,6 +165,7 @@
     response.once("finish", () => this.#closeIfIdle(request));
     response.once("close", () => {
       unflushed?.delete(exchange);
+      freeRequest?.();
       if (this.#stage === "closed") this.#closeIdleConnections();
     });
     try {
@@ -178,7 +179,6 @@
       exchange.response.reset();
     } finally {
       exchange.close();
-      freeRequest?.();
       this.#exchanges.delete(exchange);
     }
   }
