Prefix owners follow the measured demand for a prefix

Admission controllers now measure which share of their engine the permitted requests of each shared part take, and report parts above a tenth of it; routers let one engine own the part for each 0.4 of an engine.

--- a/src/admission/controller.ts
+++ b/src/admission/controller.ts
@@ -8,6 +8,7 @@
  */
 
 import type { Clock } from "../common/clock.ts";
+import { type BusyPart, PartDemand } from "../cost/mod.ts";
 import { ServerNotices } from "../directory/mod.ts";
 import { RecentUsage, TeamTally } from "../fairness/mod.ts";
 import type {
@@ -70,6 +71,8 @@
   readonly coldPace?: ColdPace;
   /** Time after which an unused part of a prompt is evicted; null if none was. */
   readonly cacheLifetimeMs: number | null;
+  /** Parts of prompts that take much of the engine; absent if none does. */
+  readonly busyParts?: readonly BusyPart[];
 }
 
 /**
@@ -100,6 +103,7 @@
   readonly #inFlight = new RequestsInFlight();
   #health = new ServerHealth();
   readonly #tokenBucket: TokenBucket;
+  readonly #partDemand: PartDemand;
   #requestLimit: RequestLimit;
 
   /**
@@ -124,6 +128,7 @@
     this.#zone = zone;
     this.coldGuard = new ColdGuard(clock, coldBounds);
     this.#tokenBucket = new TokenBucket(clock);
+    this.#partDemand = new PartDemand(clock);
     this.#requestLimit = new RequestLimit(clock);
     this.recentUsage = new RecentUsage(clock);
   }
@@ -135,11 +140,13 @@
     for (const { request } of this.#queue)
       askedTokens += this.#countUncachedTokens(request);
     const failureShare = this.#health.failureShare(this.#clock.monotonicMs());
+    const { busyParts } = this.#partDemand;
     return {
       ...this.#inFlight.work,
       ...{ asks: this.#queue.size, askedTokens, tokensPerMs, failureShare },
       ...this.#pacing,
       cacheLifetimeMs: this.#predictedCache.lifetimeMs,
+      ...(busyParts.length > 0 ? { busyParts } : {}),
     };
   }
 
@@ -301,6 +308,7 @@
       this.#tokenBucket.spend(uncachedTokens);
       this.#requestLimit.spend(1);
       this.coldGuard.spend();
+      this.#noteDemand(next.request);
       this.#startRun(next.router, next.request, uncachedTokens);
       next.router.permit(next.request.ask, uncachedTokens);
     }
@@ -384,6 +392,14 @@
     this.#noteCached(toPrompt(parts));
   }
 
+  /** Prefill of the shared parts isn't counted: each owner does it once. */
+  #noteDemand({ parts }: PermitRequest): void {
+    const lastShared = parts.at(-2);
+    const { tokensPerMs } = this.#prefillRate;
+    if (lastShared === undefined || tokensPerMs <= 0) return;
+    this.#partDemand.note(lastShared[0], lastPartTokens(parts) / tokensPerMs);
+  }
+
   #noteCached(prompt: { readonly parts: readonly PromptPart[] }): void {
     this.#predictedCache.note(prompt, this.#clock.monotonicMs());
   }
--- /dev/null
+++ b/src/cost/mod.ts
@@ -0,0 +1,7 @@
+/**
+ * What requests cost engines: learned by admission controllers from the
+ * requests of all routers, and used by routers to place further ones.
+ */
+
+export { type EngineDemand, ownerCount } from "./owner_count.ts";
+export { type BusyPart, PartDemand } from "./part_demand.ts";
--- a/src/direct/explanation.ts
+++ b/src/direct/explanation.ts
@@ -96,7 +96,10 @@
       (ready.length === 0 ? "503 until one is ready" : "one of these"),
   ];
   if (table.service(service)?.engine && request.parts.length > 1) {
-    const owners = ownersOf(request.parts, ready).map(({ id }) => id);
+    const owners = ownersOf(
+      request.parts,
+      ready.map(({ id }) => ({ id, demand: null })),
+    ).map(({ id }) => id);
     return [
       ...lines,
       `  Its head is kept by ${owners.join(" and ")}: the one that is done sooner`,
--- a/src/protocol/admission_messages.ts
+++ b/src/protocol/admission_messages.ts
@@ -148,6 +148,9 @@
 /** A team's recent usage at one server. */
 export type TeamUsage = readonly [team: string, usage: number];
 
+/** A part of prompts, and the share of an engine that its requests take. */
+export type BusyPart = readonly [id: string, share: number];
+
 /** Load of a server's engine by the requests of all routers. */
 export interface ServerReport {
   readonly type: "server-report";
@@ -173,6 +176,11 @@
   readonly coldPace?: ColdPace;
   /** Time after which an unused part of a prompt is evicted; null if none was. */
   readonly cacheLifetimeMs: number | null;
+  /**
+   * Shared parts of prompts whose requests take much of the engine, with that
+   * share, 0 to about 1; absent if there are none.
+   */
+  readonly busyParts?: readonly BusyPart[];
   /** Routers that are connected. */
   readonly routers: number;
   /** Teams whose recent usage has grown; all teams in the first report. */
--- a/src/protocol/schema.ts
+++ b/src/protocol/schema.ts
@@ -14,8 +14,11 @@
 const bytes = { bytes: true };
 const header = tuple(text, text);
 const headers = { type: "array", maxItems: 200, items: header };
-/** Sent only for services whose servers are cold after a start. */
-const OPTIONAL_FIELDS = new Set(["coldTerms", "coldPace"]);
+/** Fields that are absent where a message has nothing to say in them. */
+const OPTIONAL_FIELDS: ReadonlySet<string> = new Set([
+  ...["coldTerms", "coldPace"],
+  ...["busyParts"],
+]);
 const attempt = text;
 
 const teamDemand = tuple(text, count, amount);
@@ -56,6 +59,8 @@
 const crashDigest = tuple(text, count, count, count);
 const crashDigests = { digests: { ...crashList, items: crashDigest } };
 const teams = { type: "array", items: tuple(text, amount) };
+/** More than an admission controller reports. */
+const busyParts = { type: "array", maxItems: 64, items: tuple(text, amount) };
 const prompt = { team: text, parts, outputTokens: amount };
 
 const origin = {
@@ -205,6 +210,7 @@
     cacheLifetimeMs: optionalAmount,
     routers: count,
     teams,
+    busyParts,
   },
 };
 
--- a/src/scheduling/engine_admission.ts
+++ b/src/scheduling/engine_admission.ts
@@ -3,6 +3,7 @@
  * routers when one engine takes a request.
  */
 
+import type { BusyPart } from "../cost/mod.ts";
 import type { BackendServer } from "../directory/mod.ts";
 import type { Demand, Prompt } from "./demand.ts";
 import type { Outcome } from "./outcome.ts";
@@ -35,6 +36,8 @@
    * engine's cache; null if none was evicted.
    */
   readonly cacheLifetimeMs: number | null;
+  /** Parts of prompts that take much of the engine; absent if none does. */
+  readonly busyParts?: readonly BusyPart[];
   /** Number of routers that are connected to the admission controller. */
   readonly routers: number;
 }
--- a/src/scheduling/placement.ts
+++ b/src/scheduling/placement.ts
@@ -149,6 +149,7 @@
 ): Choice | null {
   const { nowMs } = context;
   const owners = ownersOf(prompt.parts, usable);
+  const holders = new Set(owners.slice(0, Math.max(1, owners.length - 1)));
   let best: Choice | null = null;
   let bestCostMs = Number.POSITIVE_INFINITY;
   for (const load of candidatesOf(owners, {
@@ -158,10 +159,9 @@
     share: context.share,
   })) {
     const source = copySourceFor(load, prompt, { sources: owners, nowMs });
-    const missingTokens =
-      load === owners[0]
-        ? ownTokensOf(prompt)
-        : prompt.inputTokens - load.cachedTokens(prompt, nowMs);
+    const missingTokens = holders.has(load)
+      ? ownTokensOf(prompt)
+      : prompt.inputTokens - load.cachedTokens(prompt, nowMs);
     const uncachedTokens = Math.min(
       missingTokens,
       prompt.inputTokens - source.copiedTokens,
--- a/src/scheduling/prefix_owners.ts
+++ b/src/scheduling/prefix_owners.ts
@@ -1,15 +1,11 @@
 /** Finds the engines that hold the shared prefix of a prompt, or can copy it. */
 
+import { type EngineDemand, ownerCount } from "../cost/mod.ts";
 import type { BackendServer } from "../directory/mod.ts";
 import { type Prompt, type PromptPart, sharedParts } from "./demand.ts";
 import { topRanked } from "./rendezvous.ts";
 import type { ServerLoad } from "./server_load.ts";
 
-/**
- * Engines that may prefill and cache one prefix. A second one takes what the
- * first has no capacity for; more copies would evict other prefixes.
- */
-const OWNERS_PER_PREFIX = 2;
 /** Prefixes are copied only if that is so many times faster than prefill. */
 const MIN_COPY_SPEEDUP = 4;
 
@@ -24,17 +20,29 @@
 /** Nothing is copied. */
 export const NO_SOURCE: CopySource = { source: null, copiedTokens: 0 };
 
+/** An engine that may own a prefix. */
+export interface PossibleOwner {
+  readonly id: string;
+  /** Demand for parts of prompts that it has reported; null before a report. */
+  readonly demand: EngineDemand | null;
+}
+
 /**
  * Returns the engines that own a prompt's shared prefix, the preferred one
- * first. A prompt that shares nothing may go to any of the engines.
+ * first: the more, the more of an engine its requests take. A prompt that
+ * shares nothing may go to any of the engines.
  */
-export function ownersOf<T extends { readonly id: string }>(
+export function ownersOf<T extends PossibleOwner>(
   parts: readonly PromptPart[],
   usable: readonly T[],
 ): readonly T[] {
   const lastShared = sharedParts(parts).at(-1);
   if (lastShared === undefined) return usable;
-  return topRanked(lastShared.id, usable, OWNERS_PER_PREFIX);
+  const count = ownerCount(
+    lastShared.id,
+    usable.map(({ demand }) => demand),
+  );
+  return topRanked(lastShared.id, usable, count);
 }
 
 /** Another owner of the prefix, if copying from its cache is fast enough. */
--- a/src/scheduling/server_load.ts
+++ b/src/scheduling/server_load.ts
@@ -1,6 +1,7 @@
 /** State of one backend server, as one router sees it. */
 
 import type { Clock } from "../common/clock.ts";
+import type { EngineDemand } from "../cost/mod.ts";
 import type { BackendServer } from "../directory/mod.ts";
 import type { Engine } from "../routing/mod.ts";
 import type { ColdShare } from "./cold_share.ts";
@@ -75,6 +76,11 @@
     return Math.max(this.health.failureShare(nowMs), reported);
   }
 
+  /** What its admission controller has reported; null before a report. */
+  get demand(): EngineDemand | null {
+    return this.admission?.report ?? null;
+  }
+
   /** Whether an admission controller decides when requests are sent. */
   get needsPermit(): boolean {
     return this.admission?.connected === true;
--- a/tests/scheduling/played_engine.ts
+++ b/tests/scheduling/played_engine.ts
@@ -16,7 +16,10 @@
   readonly clock: ManualClock;
   readonly id: string;
   readonly engine: Engine;
+  /** Rate that its controller expects at first. */
   readonly tokensPerMs: number;
+  /** Speed relative to `tokensPerMs`; 1 if absent. */
+  readonly speed?: number;
 }
 
 /** A request that its engine's controller has permitted. */
@@ -50,10 +53,11 @@
 
   /** Begins a run; returns when its first token comes. */
   begin({ receiver, ask, parts, tokens }: PermittedRun): number {
-    const { clock, tokensPerMs } = this.#options;
+    const { clock, tokensPerMs, speed = 1 } = this.#options;
     const nowMs = clock.monotonicMs();
     this.cache.note({ parts }, nowMs);
-    const firstTokenMs = Math.max(nowMs, this.#freeAtMs) + tokens / tokensPerMs;
+    const firstTokenMs =
+      Math.max(nowMs, this.#freeAtMs) + tokens / (tokensPerMs * speed);
     this.#freeAtMs = firstTokenMs;
     const { controller } = this;
     const prefilled = () => controller.markPrefilled(receiver, ask);
