--- a/src/admission/admission_process.ts
+++ b/src/admission/admission_process.ts
@@ -137,6 +137,7 @@
       this.#logTeams();
       // Routers that were lost long ago aren't expected back.
       this.#setRouters();
+      this.#logLearned();
       this.#crashRelay.sweep();
     }, TEAM_LOG_INTERVAL_MS);
     this.#events.info("start", { instance, service });
@@ -298,6 +299,15 @@
     }
   }
 
+  /** Logs what was learned of the engine where a decision followed from it. */
+  #logLearned(): void {
+    const learned = this.#controller.takeLearned();
+    const { busyParts, heldBack } = learned;
+    if (busyParts.length === 0 && heldBack === 0) return;
+    const parts = busyParts.map(([id, share]) => `${id}:${share}`).join(",");
+    this.#events.info("engine-cost", { ...learned, busyParts: parts });
+  }
+
   #sendReport(): void {
     const teams = this.#changedTeams();
     const report = this.#createReport(teams);
--- a/src/admission/controller.ts
+++ b/src/admission/controller.ts
@@ -8,7 +8,7 @@
  */
 
 import type { Clock } from "../common/clock.ts";
-import { type BusyPart, PartDemand } from "../cost/mod.ts";
+import { type BusyPart, PartDemand, PrefillPace } from "../cost/mod.ts";
 import { ServerNotices } from "../directory/mod.ts";
 import { RecentUsage, TeamTally } from "../fairness/mod.ts";
 import type {
@@ -53,6 +53,26 @@
  */
 const PREFILL_ALLOWANCE_MS = 300;
 
+/** What a controller has learned of its engine, and what followed from it. */
+export interface LearnedCost {
+  /** Learned prefill rate. */
+  readonly tokensPerMs: number;
+  /** Parts of prompts that take much of the engine. */
+  readonly busyParts: readonly BusyPart[];
+  /** Shortest pause that a running stream's route accepts; null for none. */
+  readonly shortestGapMs: number | null;
+  /** Stretch of prefill that is admitted at once, as a share of that pause. */
+  readonly stretchShare: number;
+  /** Stretches of prefill after which prompts waited for running streams. */
+  readonly heldBack: number;
+}
+
+/** What the controller needs of a request that runs. */
+type PermittedRequest = Pick<
+  PermitRequest,
+  "ask" | "parts" | "outputTokens" | "eventGapMs"
+>;
+
 /** Running and queued work of one engine; its fields are sent to routers. */
 export interface EngineLoad extends work.Work {
   /** Queued requests. */
@@ -104,6 +124,7 @@
   #health = new ServerHealth();
   readonly #tokenBucket: TokenBucket;
   readonly #partDemand: PartDemand;
+  #prefillPace = new PrefillPace();
   #requestLimit: RequestLimit;
 
   /**
@@ -175,6 +196,17 @@
     });
   }
 
+  /** What was learned of the engine since the last call, for the log. */
+  takeLearned(): LearnedCost {
+    return {
+      tokensPerMs: this.#prefillRate.tokensPerMs,
+      busyParts: this.#partDemand.busyParts,
+      shortestGapMs: this.#prefillPace.shortestGapMs,
+      stretchShare: this.#prefillPace.stretchShare,
+      heldBack: this.#prefillPace.takeHeldBack(),
+    };
+  }
+
   /**
    * Applies the engine's configuration as sent by a router. One that is older
    * than the current one is ignored.
@@ -192,6 +224,7 @@
       this.#noteCached({ parts: this.#listedParts });
       this.#health = new ServerHealth();
       this.#requestLimit = new RequestLimit(this.#clock);
+      this.#prefillPace = new PrefillPace();
       this.#listedParts = [];
     }
     if (previous === null)
@@ -260,9 +293,16 @@
     );
     this.#tokenBucket.setRate(this.#prefillRate.tokensPerMs);
     this.#inFlight.markPrefilled(run);
+    this.#noteStream(run);
     this.admitQueued();
   }
 
+  /** Records that a stream has paused for longer than is on time. */
+  noteMissedPace(router: PermitReceiver, ask: number): void {
+    const run = this.#runsByRouter.get(router)?.get(ask);
+    if (run !== undefined) this.#prefillPace.noteMissed(run);
+  }
+
   /**
    * Releases the capacity that an ended request took. Any outcome but
    * "neutral" counts for the engine's failure share.
@@ -274,8 +314,9 @@
     if (outcome !== "neutral") {
       this.#health.noteOutcome(outcome, this.#clock.monotonicMs());
     }
+    if (outcome === "served") this.#prefillPace.noteServed(run);
     runs?.delete(ask);
-    this.#inFlight.end(run);
+    this.#endRun(run);
     this.admitQueued();
   }
 
@@ -283,7 +324,7 @@
   removeRouter(router: PermitReceiver): void {
     this.#queue.removeWhere((queued) => queued.router === router);
     for (const run of this.#runsByRouter.get(router)?.values() ?? []) {
-      this.#inFlight.end(run);
+      this.#endRun(run);
     }
     this.#runsByRouter.delete(router);
     this.admitQueued();
@@ -306,6 +347,7 @@
       this.recentUsage.add(next.request.team, next.request.cost);
       this.#count(next, "permitted");
       this.#tokenBucket.spend(uncachedTokens);
+      this.#prefillPace.addPrompt(uncachedTokens);
       this.#requestLimit.spend(1);
       this.coldGuard.spend();
       this.#noteDemand(next.request);
@@ -330,11 +372,16 @@
     if (this.#notices.isClosed({ id: server, startedAtMs })) return false;
     if (this.#requestLimit.delayMs(1) > 0) return false;
     if (!this.coldGuard.allows(request)) return false;
+    // The pace of streams bounds prefill by what it does to them.
+    const isPaced = this.#prefillPace.shortestGapMs !== null;
     if (
+      !isPaced &&
       !this.#tokenBucket.hasTokens &&
       !this.#isLightlyLoaded(this.#configuration)
     )
       return false;
+    if (!this.#prefillPace.allows(uncachedTokens, this.#currentTokensPerMs))
+      return false;
     const { slots, cacheTokens } = this.#configuration;
     const addedLoad = {
       uncachedTokens,
@@ -376,15 +423,16 @@
 
   #startRun(
     router: PermitReceiver,
-    request: Pick<PermitRequest, "ask" | "parts" | "outputTokens">,
+    request: PermittedRequest,
     uncachedTokens: number,
   ): void {
-    const { ask, parts, outputTokens } = request;
+    const { ask, parts, outputTokens, eventGapMs } = request;
     const privateTokens = lastPartTokens(parts) + outputTokens;
     const run = this.#inFlight.begin(
-      { uncachedTokens, privateTokens },
+      { uncachedTokens, privateTokens, eventGapMs },
       this.#clock.monotonicMs(),
     );
+    if (uncachedTokens === 0) this.#noteStream(run);
     const runs =
       this.#runsByRouter.get(router) ?? new Map<number, RequestInFlight>();
     runs.set(ask, run);
@@ -400,6 +448,23 @@
     this.#partDemand.note(lastShared[0], lastPartTokens(parts) / tokensPerMs);
   }
 
+  /** Its prompt is prefilled: from now on it generates tokens. */
+  #noteStream(run: RequestInFlight): void {
+    if (run.eventGapMs !== null)
+      this.#prefillPace.addStream(run, run.eventGapMs);
+    this.#noteStretchEnd();
+  }
+
+  #endRun(run: RequestInFlight): void {
+    this.#inFlight.end(run);
+    this.#prefillPace.remove(run);
+    this.#noteStretchEnd();
+  }
+
+  #noteStretchEnd(): void {
+    if (this.#inFlight.work.unreadTokens === 0) this.#prefillPace.endStretch();
+  }
+
   #noteCached(prompt: { readonly parts: readonly PromptPart[] }): void {
     this.#predictedCache.note(prompt, this.#clock.monotonicMs());
   }
--- a/src/admission/router_session.ts
+++ b/src/admission/router_session.ts
@@ -107,6 +107,8 @@
         this.#controller.markPrefilled(this, message.ask);
         return;
       case "finished":
+        if (message.missedPace)
+          this.#controller.noteMissedPace(this, message.ask);
         this.#controller.finish(this, message.ask, message.outcome);
         return;
       case "request-limit":
--- a/src/cost/mod.ts
+++ b/src/cost/mod.ts
@@ -5,3 +5,4 @@
 
 export { type EngineDemand, ownerCount } from "./owner_count.ts";
 export { type BusyPart, PartDemand } from "./part_demand.ts";
+export { PrefillPace } from "./prefill_pace.ts";
--- a/src/direct/admission_client.ts
+++ b/src/direct/admission_client.ts
@@ -94,8 +94,12 @@
 interface PermittedRequest {
   readonly team: string;
   readonly prompt: Prompt;
+  /** Longest pause between its events that is on time; null for any. */
+  readonly eventGapMs: number | null;
   /** Whether its first event has come. */
   begun: boolean;
+  /** Whether its stream has paused for longer than is on time. */
+  missedPace: boolean;
 }
 
 /** Requests permits from one admission controller; reconnects on disconnect. */
@@ -182,8 +186,8 @@
       parts: packParts(prompt),
       copiedTokens,
       outputTokens: prompt.outputTokens,
-      objectiveMs: demand.objectiveMs,
-      leftMs,
+      ...{ objectiveMs: demand.objectiveMs, leftMs },
+      ...packPace(demand.eventGapMs),
     });
     this.#updateBusy();
     return () => {
@@ -310,9 +314,8 @@
     this.#updateBusy();
     const { demand, prompt } = pending.parameters;
     this.#permittedRequests.set(ask, {
-      team: demand.team,
-      prompt,
-      begun: false,
+      ...{ team: demand.team, prompt, eventGapMs: demand.eventGapMs },
+      ...{ begun: false, missedPace: false },
     });
     pending.callbacks.permitted(this.#createPermit(ask, uncachedTokens));
   }
@@ -326,10 +329,19 @@
         permitted.begun = true;
         this.#connection?.send({ type: "begun", ask });
       },
+      noteMissedPace: () => {
+        const permitted = this.#permittedRequests.get(ask);
+        if (permitted !== undefined) permitted.missedPace = true;
+      },
       finish: (outcome) => {
-        if (!this.#permittedRequests.delete(ask)) return;
+        const permitted = this.#permittedRequests.get(ask);
+        if (permitted === undefined) return;
+        this.#permittedRequests.delete(ask);
         const reported = permitOutcomeOf(outcome);
-        this.#connection?.send({ type: "finished", ask, outcome: reported });
+        this.#connection?.send({
+          ...{ type: "finished", ask, outcome: reported },
+          ...(permitted.missedPace ? { missedPace: true } : {}),
+        });
       },
     };
   }
@@ -370,9 +382,14 @@
 
 function runningRequestMessage(
   ask: number,
-  { team, prompt, begun }: PermittedRequest,
+  { team, prompt, eventGapMs, begun }: PermittedRequest,
 ): RunningRequest {
   const { outputTokens } = prompt;
   const parts = packParts(prompt);
-  return { type: "held", ask, team, parts, outputTokens, begun };
+  const pace = packPace(eventGapMs);
+  return { type: "held", ask, team, parts, outputTokens, begun, ...pace };
+}
+
+function packPace(eventGapMs: number | null): { eventGapMs?: number } {
+  return eventGapMs === null ? {} : { eventGapMs };
 }
--- a/src/direct/request_record.ts
+++ b/src/direct/request_record.ts
@@ -35,6 +35,7 @@
   #sends = 0;
   #waitedMs = 0;
   #firstByteMs: number | null = null;
+  #longestPauseMs: number | null = null;
 
   constructor(deps: RequestRecordDependencies) {
     this.#deps = deps;
@@ -67,6 +68,19 @@
     this.#firstByteMs ??= this.#sinceArrivalMs();
   }
 
+  /**
+   * Records the longest pause between two pieces of a stream.
+   *
+   * @param targetMs longest pause that is on time; null for any
+   */
+  recordLongestPause(pauseMs: number, targetMs: number | null): void {
+    this.#longestPauseMs = Math.round(pauseMs);
+    if (targetMs === null) return;
+    const pace = pauseMs <= targetMs ? "kept" : "missed";
+    this.#deps.metrics.count("oriole_stream_pace_total", { pace });
+    this.#deps.metrics.observe("oriole_stream_pause_seconds", pauseMs);
+  }
+
   /** Logs that the request will be retried, and why. */
   logRetry(reason: string, status: number): void {
     this.#deps.events.info("retry", {
@@ -100,6 +114,7 @@
       resumes,
       ...{ status, waitedMs: this.#waitedMs },
       ...{ firstByteMs: this.#firstByteMs, tookMs, allowedMs },
+      longestPauseMs: this.#longestPauseMs,
       configuration: configuration.table?.version ?? 0,
       configurationAgeMs: Math.round(configuration.ageMs),
     });
--- a/src/direct/request_sender.ts
+++ b/src/direct/request_sender.ts
@@ -155,6 +155,7 @@
       prompt: terms.prompt,
       objectiveAtMs: admitted.objectiveAtMs,
       objectiveMs: route.objectiveMs,
+      eventGapMs: route.eventGapMs,
       deadlineAtMs: admitted.deadlineAtMs,
       excluded: this.#triedServers,
       avoided: this.#unreachableServers,
@@ -339,6 +340,9 @@
       this.#options.record.recordFirstByte();
     }
     this.suspect.recordData(progress);
+    const { eventGapMs } = this.#options.admitted.route;
+    if (eventGapMs !== null && progress.longestPauseMs > eventGapMs)
+      placement.noteMissedPace();
   }
 
   #recordEnd(placement: Placement, end: SendEnd): void {
@@ -364,6 +368,7 @@
         return;
       }
       case "complete":
+        this.#recordPause(placement);
         this.#deps.origins.noteEnd(this.#options.admitted.terms.id ?? "");
         return;
       case "not-run":
@@ -375,6 +380,13 @@
     }
   }
 
+  #recordPause(placement: Placement): void {
+    const { route } = this.#options.admitted;
+    if (!route.streaming) return;
+    const { longestPauseMs } = this.#responseOf(placement);
+    this.#options.record.recordLongestPause(longestPauseMs, route.eventGapMs);
+  }
+
   #recordBroken(placement: Placement, reason: string): void {
     const { events, crashGuard } = this.#deps;
     const { server } = placement;
--- a/src/direct/response_progress.ts
+++ b/src/direct/response_progress.ts
@@ -12,6 +12,8 @@
 export class ResponseProgress {
   readonly #clock: Clock;
   #firstDataMs: number | null = null;
+  #lastDataMs = 0;
+  #longestPauseMs = 0;
   #wentOn = false;
 
   constructor(clock: Clock) {
@@ -23,6 +25,11 @@
     return this.#firstDataMs !== null;
   }
 
+  /** Longest time between two pieces of data; 0 before the second. */
+  get longestPauseMs(): number {
+    return this.#longestPauseMs;
+  }
+
   /** Whether data still came some time after the first. */
   get wentOn(): boolean {
     return this.#wentOn;
@@ -31,6 +38,9 @@
   /** Records data; returns true on that by which the response went on. */
   recordData(): boolean {
     const nowMs = this.#clock.monotonicMs();
+    const pauseMs = this.hasData ? nowMs - this.#lastDataMs : 0;
+    this.#longestPauseMs = Math.max(this.#longestPauseMs, pauseMs);
+    this.#lastDataMs = nowMs;
     this.#firstDataMs ??= nowMs;
     if (this.#wentOn) return false;
     this.#wentOn = nowMs - this.#firstDataMs >= SOUND_BEGINNING_MS;
--- a/src/protocol/admission_messages.ts
+++ b/src/protocol/admission_messages.ts
@@ -64,6 +64,8 @@
   readonly objectiveMs: number;
   /** Time left until the first event is due; below 0 when it is late. */
   readonly leftMs: number;
+  /** Longest pause between events that is on time; absent for any. */
+  readonly eventGapMs?: number;
 }
 
 /** Reports a request that was sent before this connection was opened. */
@@ -75,6 +77,8 @@
   readonly outputTokens: number;
   /** Whether its first event has arrived, so that its prefill has ended. */
   readonly begun: boolean;
+  /** Longest pause between events that is on time; absent for any. */
+  readonly eventGapMs?: number;
 }
 
 /** Withdraws a permit request. */
@@ -97,6 +101,8 @@
   readonly type: "finished";
   readonly ask: number;
   readonly outcome: PermitOutcome;
+  /** Present if a pause between two events was longer than is on time. */
+  readonly missedPace?: true;
 }
 
 /** Permits a router to send a request. */
--- a/src/protocol/schema.ts
+++ b/src/protocol/schema.ts
@@ -17,7 +17,7 @@
 /** Fields that are absent where a message has nothing to say in them. */
 const OPTIONAL_FIELDS: ReadonlySet<string> = new Set([
   ...["coldTerms", "coldPace"],
-  ...["busyParts"],
+  ...["busyParts", "eventGapMs", "missedPace"],
 ]);
 const attempt = text;
 
@@ -61,7 +61,10 @@
 const teams = { type: "array", items: tuple(text, amount) };
 /** More than an admission controller reports. */
 const busyParts = { type: "array", maxItems: 64, items: tuple(text, amount) };
-const prompt = { team: text, parts, outputTokens: amount };
+const prompt = {
+  ...{ team: text, parts, outputTokens: amount },
+  eventGapMs: amount,
+};
 
 const origin = {
   state: { enum: ["known", "ambiguous", "unknown"] },
@@ -177,7 +180,11 @@
   held: { ask: count, ...prompt, begun: flag },
   withdraw: { ask: count },
   begun: { ask: count },
-  finished: { ask: count, outcome: { enum: ["served", "failed", "neutral"] } },
+  finished: {
+    ask: count,
+    outcome: { enum: ["served", "failed", "neutral"] },
+    missedPace: { const: true },
+  },
   "server-notice": {
     ...{ server: text, startedAtMs: count, remainingMs: amount },
     notice: { enum: ["leaving", "paused"] },
--- a/src/routing/route.ts
+++ b/src/routing/route.ts
@@ -24,6 +24,8 @@
   readonly timeoutMs: number;
   /** Target time to the answer, or to the first event of a stream. */
   readonly objectiveMs: number;
+  /** Longest pause between events of a stream that is on time; null for any. */
+  readonly eventGapMs: number | null;
   /** 0 is the most urgent. */
   readonly priority: number;
   /** Largest number of backend servers that a request is sent to. */
--- a/src/scheduling/decision.ts
+++ b/src/scheduling/decision.ts
@@ -19,6 +19,8 @@
   isOpen(): boolean;
   /** Call when the first token has arrived. */
   noteFirstToken(): void;
+  /** Call when its stream has paused for longer than is on time. */
+  noteMissedPace(): void;
   /**
    * Applies the limit that the response states: requests per second, or null
    * for none. Returns whether that is new to this router.
--- a/src/scheduling/demand.ts
+++ b/src/scheduling/demand.ts
@@ -29,6 +29,8 @@
   readonly objectiveAtMs: number;
   /** Target time to the answer, or to the first token of a stream. */
   readonly objectiveMs: number;
+  /** Longest pause between its events that is on time; null for any. */
+  readonly eventGapMs: number | null;
   /** Monotonic time after which its caller no longer waits. */
   readonly deadlineAtMs: number;
   /** Ids of servers that it must not be sent to again. */
--- a/src/scheduling/engine_admission.ts
+++ b/src/scheduling/engine_admission.ts
@@ -48,6 +48,8 @@
   readonly uncachedTokens: number;
   /** Reports that the first token has arrived. */
   begun(): void;
+  /** Notes that its stream paused for longer than is on time. */
+  noteMissedPace(): void;
   /** Reports how the request ended, and returns the permit. */
   finish(outcome: Outcome): void;
 }
--- a/src/scheduling/requests_in_flight.ts
+++ b/src/scheduling/requests_in_flight.ts
@@ -12,12 +12,16 @@
   readonly backlogTokens: number;
   /** Monotonic time at which it was sent. */
   readonly sentAtMs: number;
+  /** Longest pause between its events that is on time; null for any. */
+  readonly eventGapMs: number | null;
 }
 
 /** Tokens that a request adds to the work of a server. */
 export interface RequestSize {
   readonly uncachedTokens: number;
   readonly privateTokens: number;
+  /** Longest pause between its events that is on time; absent for any. */
+  readonly eventGapMs?: number | null;
 }
 
 /** Tracks requests from sending through prefill to their end. */
@@ -39,13 +43,13 @@
 
   /** Adds a request that is sent now. */
   begin(
-    { uncachedTokens, privateTokens }: RequestSize,
+    { uncachedTokens, privateTokens, eventGapMs = null }: RequestSize,
     nowMs: number,
   ): RequestInFlight {
     const run = {
       ...{ unreadTokens: uncachedTokens, privateTokens },
       backlogTokens: this.#work.unreadTokens + uncachedTokens,
-      sentAtMs: nowMs,
+      ...{ sentAtMs: nowMs, eventGapMs },
     };
     this.#work = add(this.#work, workOf(run));
     if (run.unreadTokens > 0) this.#inPrefill.add(run);
--- a/src/scheduling/scheduler.ts
+++ b/src/scheduling/scheduler.ts
@@ -284,6 +284,7 @@
         permit?.begun();
         this.#noteFirstToken(load, run);
       },
+      noteMissedPace: () => permit?.noteMissedPace(),
       noteRequestLimit: (requestsPerS) =>
         this.#noteOwnLimit(load, { requestsPerS, sentAtMs: nowMs }),
       release: (outcome) => {
--- a/tests/direct/hedged_send_test.ts
+++ b/tests/direct/hedged_send_test.ts
@@ -46,6 +46,7 @@
     ...{
       source: null,
       isOpen: () => true,
+      noteMissedPace: () => {},
       noteFirstToken: () => {},
       release: () => {},
     },
--- a/tests/direct/server_send_test.ts
+++ b/tests/direct/server_send_test.ts
@@ -19,6 +19,7 @@
     ...{ type: "placed", uncachedTokens: 0, source: null },
     server: createServer({ host: "127.0.0.1", port: server.port }),
     isOpen: () => isOpen,
+    noteMissedPace: () => {},
     noteFirstToken: () => {},
     noteRequestLimit: () => false,
     release: (outcome) => released.push(outcome),
--- a/tests/scheduling/demands.ts
+++ b/tests/scheduling/demands.ts
@@ -12,6 +12,7 @@
     prompt: null,
     objectiveAtMs: 2_000,
     objectiveMs: 1_000,
+    eventGapMs: null,
     deadlineAtMs: 9_000,
     excluded: new Set(),
     avoided: new Set(),
--- a/tests/scheduling/restricted_zones_test.ts
+++ b/tests/scheduling/restricted_zones_test.ts
@@ -51,6 +51,7 @@
     const permit: Permit = {
       uncachedTokens: 0,
       begun: () => {},
+      noteMissedPace: () => {},
       finish: (outcome) => this.returned.push(outcome),
     };
     for (const callbacks of this.waiting) {
--- a/tests/support/routes.ts
+++ b/tests/support/routes.ts
@@ -13,6 +13,7 @@
     repetition: "idempotent",
     timeoutMs: 5_000,
     objectiveMs: 1_000,
+    eventGapMs: null,
     priority: 1,
     maxAttempts: 2,
     requiresKey: false,
