Long prompts go where they delay few streams

Such a prompt may now go to any engine, with its prefix copied, and each stream that it would delay costs as much as a request that misses its objective.

--- a/src/cost/mod.ts
+++ b/src/cost/mod.ts
@@ -4,5 +4,6 @@
  */
 
 export { type EngineDemand, ownerCount } from "./owner_count.ts";
+export * as paceCost from "./pace_cost.ts";
 export { type BusyPart, PartDemand } from "./part_demand.ts";
 export { PrefillPace } from "./prefill_pace.ts";
--- a/src/scheduling/engine_candidates.ts
+++ b/src/scheduling/engine_candidates.ts
@@ -1,5 +1,6 @@
 /** Decides among which engines one is chosen for a prompt. */
 
+import { paceCost } from "../cost/mod.ts";
 import type { Demand, Prompt } from "./demand.ts";
 import { ownersOf } from "./prefix_owners.ts";
 import { topRanked } from "./rendezvous.ts";
@@ -19,7 +20,9 @@
 
 /**
  * Returns the owners and, if they are at their limits, engines that the request
- * may go to instead: its owners among those without a limit, or any.
+ * may go to instead: its owners among those without a limit, or any. A prompt
+ * that would delay the streams at its owners may go to any engine: copying its
+ * shared prefix is little work beside that of its own part.
  */
 export function candidatesOf(
   owners: readonly ServerLoad[],
@@ -36,6 +39,7 @@
     readonly share: number;
   },
 ): ReadonlySet<ServerLoad> {
+  if (isLongAt(owners, demand, prompt)) return new Set([...owners, ...usable]);
   const maxDelayMs = demand.objectiveMs * MAX_LIMIT_DELAY_SHARE;
   const isAtLimit = (load: ServerLoad) => load.limitDelayMs(share) > maxDelayMs;
   if (!owners.every(isAtLimit)) return new Set(owners);
@@ -48,3 +52,18 @@
       : topRanked(demand.requestId, usable, LIMITED_CANDIDATES);
   return new Set([...owners, ...others]);
 }
+
+/** Whether each owner takes so long for the prompt that its streams are late. */
+function isLongAt(
+  owners: readonly ServerLoad[],
+  { eventGapMs }: Demand,
+  { parts, inputTokens }: Prompt,
+): boolean {
+  const ownTokens = parts.at(-1)?.tokens ?? inputTokens;
+  return owners.every((load) => {
+    const tokensPerMs =
+      load.admission?.report?.tokensPerMs ?? load.prefillRate.tokensPerMs;
+    const prefillMs = ownTokens / tokensPerMs;
+    return paceCost.delaysStreams({ prefillMs, eventGapMs });
+  });
+}
--- a/src/scheduling/placement.ts
+++ b/src/scheduling/placement.ts
@@ -9,6 +9,7 @@
  * without a model is a plain server.
  */
 
+import { paceCost } from "../cost/mod.ts";
 import { backlogAt } from "./backlog.ts";
 import { type Demand, type Prompt, privateTokensOf } from "./demand.ts";
 import { candidatesOf } from "./engine_candidates.ts";
@@ -176,8 +177,14 @@
       tokens +
       uncachedTokens * UNCACHED_TOKEN_WEIGHT +
       (missingTokens - uncachedTokens) * COPIED_TOKEN_WEIGHT;
+    const rate = Math.max(tokensPerMs, MIN_TOKENS_PER_MS);
+    const { eventGapMs, objectiveMs } = demand;
     const costMs =
-      weightedTokens / Math.max(tokensPerMs, MIN_TOKENS_PER_MS) +
+      weightedTokens / rate +
+      paceCost.paceCostMs(
+        { prefillMs: uncachedTokens / rate, eventGapMs },
+        { streams: runs, objectiveMs },
+      ) +
       runs * RUN_COST_MS +
       load.limitDelayMs(context.share) +
       load.failureShare(nowMs) * demand.objectiveMs;
--- a/tests/scheduling/placement_test.ts
+++ b/tests/scheduling/placement_test.ts
@@ -10,6 +10,7 @@
 } from "../../src/scheduling/engine_admission.ts";
 import { chooseServer } from "../../src/scheduling/placement.ts";
 import { PrefillRate } from "../../src/scheduling/prefill_rate.ts";
+import { ownersOf } from "../../src/scheduling/prefix_owners.ts";
 import { ServerLoad } from "../../src/scheduling/server_load.ts";
 import { createManualClock } from "../support/manual_clock.ts";
 import { createServer } from "../support/servers.ts";
@@ -219,3 +220,40 @@
     grey.health.noteOutcome("failed", CONTEXT.nowMs);
   assert.equal(chooseServer(createDemand(), [grey], CONTEXT)?.load.id, "grey");
 });
+
+test("a prompt that would delay the streams at its owners goes to a faster engine", () => {
+  const engine = { ...ENGINE, copiedTokensPerMs: 2_500 };
+  const work = { runs: 8, unreadTokens: 0 };
+  const loads = ["e1", "e2", "e3", "e4", "e5", "e6"].map((id) => {
+    const tokensPerMs = id === "e6" ? 110 : 45;
+    const admission = createAdmission({ ...work, tokensPerMs });
+    return createLoad(id, {}, { engine, admission });
+  });
+  const choose = (ownTokens: number, eventGapMs: number | null) => {
+    const prompt = {
+      model: "m",
+      parts: [
+        { id: prefixOf("e1"), tokens: 9_000 },
+        { id: "own", tokens: ownTokens },
+      ],
+      ...{ inputTokens: 9_000 + ownTokens, outputTokens: 100 },
+    };
+    const demand = createDemand({ prompt, eventGapMs });
+    return chooseServer(demand, loads, CONTEXT)?.load.id;
+  };
+  // A prefix that neither owner of which is the fast engine.
+  function prefixOf(owner: string): string {
+    const heads = Array.from({ length: 100 }, (_, index) => `head-${index}`);
+    const isOwner = (head: string) => {
+      const demand = createDemand({ prompt: createPrompt(head, "own") });
+      const owners = ownersOf(demand.prompt?.parts ?? [], loads);
+      const ids = owners.map(({ id }) => id);
+      return ids[0] === owner && !ids.includes("e6");
+    };
+    return heads.find(isOwner) ?? assert.fail("No such prefix");
+  }
+  assert.equal(choose(3_000, 400), "e1");
+  assert.equal(choose(20_000, 400), "e6");
+  // Routes that name no pace are served as before.
+  assert.equal(choose(20_000, null), "e1");
+});
