--- a/src/protocol/admission_messages.ts
+++ b/src/protocol/admission_messages.ts
@@ -64,6 +64,8 @@
   readonly objectiveMs: number;
   /** Time left until the first event is due; below 0 when it is late. */
   readonly leftMs: number;
+  /** Longest pause between events that is on time; absent for any. */
+  readonly eventGapMs?: number;
 }
 
 /** Reports a request that was sent before this connection was opened. */
@@ -75,6 +77,8 @@
   readonly outputTokens: number;
   /** Whether its first event has arrived, so that its prefill has ended. */
   readonly begun: boolean;
+  /** Longest pause between events that is on time; absent for any. */
+  readonly eventGapMs?: number;
 }
 
 /** Withdraws a permit request. */
@@ -97,6 +101,8 @@
   readonly type: "finished";
   readonly ask: number;
   readonly outcome: PermitOutcome;
+  /** Present if a pause between two events was longer than is on time. */
+  readonly missedPace?: true;
 }
 
 /** Permits a router to send a request. */
@@ -148,6 +154,9 @@
 /** A team's recent usage at one server. */
 export type TeamUsage = readonly [team: string, usage: number];
 
+/** A part of prompts, and the share of an engine that its requests take. */
+export type BusyPart = readonly [id: string, share: number];
+
 /** Load of a server's engine by the requests of all routers. */
 export interface ServerReport {
   readonly type: "server-report";
@@ -173,6 +182,11 @@
   readonly coldPace?: ColdPace;
   /** Time after which an unused part of a prompt is evicted; null if none was. */
   readonly cacheLifetimeMs: number | null;
+  /**
+   * Shared parts of prompts whose requests take much of the engine, with that
+   * share, 0 to about 1; absent if there are none.
+   */
+  readonly busyParts?: readonly BusyPart[];
   /** Routers that are connected. */
   readonly routers: number;
   /** Teams whose recent usage has grown; all teams in the first report. */
--- a/src/scheduling/placement.ts
+++ b/src/scheduling/placement.ts
@@ -9,6 +9,7 @@
  * without a model is a plain server.
  */
 
+import { paceCost } from "../cost/mod.ts";
 import { backlogAt } from "./backlog.ts";
 import { type Demand, type Prompt, privateTokensOf } from "./demand.ts";
 import { candidatesOf } from "./engine_candidates.ts";
@@ -149,6 +150,7 @@
 ): Choice | null {
   const { nowMs } = context;
   const owners = ownersOf(prompt.parts, usable);
+  const holders = new Set(owners.slice(0, Math.max(1, owners.length - 1)));
   let best: Choice | null = null;
   let bestCostMs = Number.POSITIVE_INFINITY;
   for (const load of candidatesOf(owners, {
@@ -158,10 +160,9 @@
     share: context.share,
   })) {
     const source = copySourceFor(load, prompt, { sources: owners, nowMs });
-    const missingTokens =
-      load === owners[0]
-        ? ownTokensOf(prompt)
-        : prompt.inputTokens - load.cachedTokens(prompt, nowMs);
+    const missingTokens = holders.has(load)
+      ? ownTokensOf(prompt)
+      : prompt.inputTokens - load.cachedTokens(prompt, nowMs);
     const uncachedTokens = Math.min(
       missingTokens,
       prompt.inputTokens - source.copiedTokens,
@@ -176,8 +177,14 @@
       tokens +
       uncachedTokens * UNCACHED_TOKEN_WEIGHT +
       (missingTokens - uncachedTokens) * COPIED_TOKEN_WEIGHT;
+    const rate = Math.max(tokensPerMs, MIN_TOKENS_PER_MS);
+    const { eventGapMs, objectiveMs } = demand;
     const costMs =
-      weightedTokens / Math.max(tokensPerMs, MIN_TOKENS_PER_MS) +
+      weightedTokens / rate +
+      paceCost.paceCostMs(
+        { prefillMs: uncachedTokens / rate, eventGapMs },
+        { streams: runs, objectiveMs },
+      ) +
       runs * RUN_COST_MS +
       load.limitDelayMs(context.share) +
       load.failureShare(nowMs) * demand.objectiveMs;
