--- a/src/scheduling/server_load.ts
+++ b/src/scheduling/server_load.ts
@@ -120,8 +120,8 @@
   /** What this router may send without permits; null for any number. */
   #ownCapacity(share: number): LimitedCapacity | null {
     const { requestsPerS } = this.requestLimit;
-    const coldPerS = this.#coldShare?.requestsPerS ?? null;
-    if (requestsPerS === null && coldPerS === null) return null;
+    const coldRatePerS = this.#coldShare?.requestsPerS ?? null;
+    if (requestsPerS === null && coldRatePerS === null) return null;
     const named =
       requestsPerS === null
         ? { perS: Number.POSITIVE_INFINITY, slots: Number.POSITIVE_INFINITY }
@@ -130,9 +130,9 @@
             slots: this.requestLimit.freeSlots(share),
           };
     const coldSlots =
-      coldPerS === null ? null : (this.#coldShare?.freeSlots ?? null);
+      coldRatePerS === null ? null : (this.#coldShare?.freeSlots ?? null);
     return {
-      requestsPerS: Math.min(named.perS, coldPerS ?? named.perS),
+      requestsPerS: Math.min(named.perS, coldRatePerS ?? named.perS),
       freeSlots: Math.min(named.slots, coldSlots ?? named.slots),
       asks: 0,
       isProvisional: requestsPerS === null && this.admission !== null,
