--- a/tests/transport/handshake_test.ts
+++ b/tests/transport/handshake_test.ts
@@ -177,3 +177,30 @@
   await listener.close();
   assert.equal(intervalsMs[0], HEARTBEAT_MS);
 });
+
+test("peers that prove nothing don't keep out one that has the key", async (t) => {
+  const { listener, port, peers } = await createListener();
+  const mostHandshakes = 512;
+  const silent = Array.from({ length: mostHandshakes + 8 }, () =>
+    connect(port, "127.0.0.1"),
+  );
+  for (const socket of silent) {
+    socket.on("error", () => undefined);
+    socket.resume();
+  }
+  const closed = () => silent.filter(({ destroyed }) => destroyed).length;
+  const authorized = createDialer(FLEET_KEY);
+  t.after(async () => {
+    authorized.close();
+    for (const socket of silent) socket.destroy();
+    await listener.close();
+  });
+  // All end at the deadline of a handshake, 3 s.
+  await until("the oldest handshakes are given up", 2_000, {
+    holds: () => closed() >= silent.length - mostHandshakes,
+  });
+  void authorized.run({ host: "127.0.0.1", port });
+  await until("the authorized peer is served", TIMEOUT_MS, {
+    holds: () => peers.length > 0,
+  });
+});
