Check: both programs run one function

Cause: the product's and the platform's command each read the files, failed and printed. Change: runCheck() takes the check as a function. No behaviour changes.

--- a/src/cli/check_command.ts
+++ b/src/cli/check_command.ts
@@ -2,9 +2,10 @@
 
 import { readFile } from "node:fs/promises";
 import { Command } from "commander";
+import type { Result } from "neverthrow";
 import { type Check, checkDocument, formatCheck } from "../checking/mod.ts";
 import { messageOf } from "../common/error_message.ts";
-import { formatFindings } from "../common/finding.ts";
+import { type Finding, formatFindings } from "../common/finding.ts";
 import { ExitCode } from "./exit_code.ts";
 import { fail, print } from "./fleet_options.ts";
 
@@ -23,17 +24,9 @@
 export function checkCommand(): Command {
   return addCheckOptions(new Command("check"))
     .addHelpText("after", EXAMPLE)
-    .action(async (file: string, options: CheckOptions) => {
-      const against =
-        options.against === undefined ? null : await readInput(options.against);
-      const check = checkDocument(await readInput(file), against);
-      if (check.isOk()) printCheck(check.value, options);
-      else
-        fail(
-          ExitCode.USAGE,
-          `${options.against}: ${formatFindings(check.error)}`,
-        );
-    });
+    .action((file: string, options: CheckOptions) =>
+      runCheck(checkDocument, file, options),
+    );
 }
 
 /** Adds the description, the argument and the options of a check. */
@@ -46,7 +39,7 @@
 }
 
 /** Reads a file; exits if that fails. */
-export async function readInput(file: string): Promise<string> {
+async function readInput(file: string): Promise<string> {
   try {
     return await readFile(file, "utf8");
   } catch (error) {
@@ -54,9 +47,23 @@
   }
 }
 
-/** Prints a check; differences alone don't fail it. */
-export function printCheck(check: Check, { json }: CheckOptions): void {
-  print(json, check, formatCheck(check));
-  process.exitCode =
-    check.concerns.length === 0 ? ExitCode.OK : ExitCode.FAILED;
+/**
+ * Checks a file and prints the result; exits if a file can't be read. Differences
+ * alone don't fail the check.
+ *
+ * @param check checks a text against another one, null for none; fails if the
+ *   other one can't be read
+ */
+export async function runCheck(
+  check: (text: string, against: string | null) => Result<Check, Finding[]>,
+  file: string,
+  { against, json }: CheckOptions,
+): Promise<void> {
+  const inForce = against === undefined ? null : await readInput(against);
+  const checked = check(await readInput(file), inForce);
+  if (checked.isErr())
+    fail(ExitCode.USAGE, `${against}: ${formatFindings(checked.error)}`);
+  const { concerns } = checked.value;
+  print(json, checked.value, formatCheck(checked.value));
+  process.exitCode = concerns.length === 0 ? ExitCode.OK : ExitCode.FAILED;
 }
