--- a/review/harness-2.mjs
+++ b/review/harness-2.mjs
@@ -189,20 +189,22 @@
 /** A program of the deploy file, started with its command. */
 export class Program {
   events = [];
-  constructor(fleet, role, settings) {
+  constructor(fleet, role, fields) {
     this.role = role;
+    this.deployed = deployedAs(role, fields);
     this.path = join(fleet.folder, `${role}-${fleet.programs.length}.json`);
-    writeFileSync(this.path, settings);
+    writeFileSync(this.path, fill(readFileSync(join(ROOT, this.deployed.template), "utf8"), fields));
     this.start();
   }
   start() {
-    const limit = this.role === "router" ? 160 : 96;
+    const { words, env } = this.deployed;
+    const [command, ...parameters] = words;
     this.exit = null;
-    this.process = spawn(
-      process.execPath,
-      [`--max-old-space-size=${limit}`, `target/bundle/${this.role}_main.js`],
-      { cwd: ROOT, env: { PATH: process.env.PATH, HOME: process.env.HOME, ORIOLEROUTER_BOOT: this.path }, stdio: ["ignore", "pipe", "pipe"] },
-    );
+    this.process = spawn(command === "node" ? process.execPath : command, parameters, {
+      cwd: ROOT,
+      env: { PATH: process.env.PATH, HOME: process.env.HOME, ...env, ORIOLEROUTER_BOOT: this.path },
+      stdio: ["ignore", "pipe", "pipe"],
+    });
     let rest = "";
     this.process.stdout.setEncoding("utf8").on("data", (text) => {
       const lines = (rest + text).split("\n");
@@ -230,13 +232,22 @@
   budgetRatio: 0.2, budgetWindowS: 10, retrySlack: 52, recoverS: 12,
 };
 
-/** Fills in a settings template; only the syntax that the project's ones use. */
-function render(role, fields) {
-  const template = readFileSync(join(ROOT, "deploy", `${role}.json.template`), "utf8");
+/** Fills in placeholders; only the syntax that the project's files use. */
+function fill(template, fields) {
   const of = (name) => name.split(".").reduce((at, key) => at?.[key], fields);
   return template
     .replace(/\{\{#([\w.]+)\}\}(.*?)\{\{\/\1\}\}/gs, (_a, name, text) => (of(name) === undefined ? "" : text))
-    .replace(/\{\{([\w.]+)(\|json)?\}\}/g, (_a, name, json) => (json ? JSON.stringify(of(name)) : String(of(name))));
+    .replace(/\{\{([\w.]+)(\|json)?\}\}/g, (_a, name, json) => (json ? JSON.stringify(of(name)) : String(of(name) ?? "")));
+}
+
+/** Command, environment and template of a role in the deploy file. */
+function deployedAs(role, fields) {
+  const file = readFileSync(join(ROOT, "deploy/system.toml"), "utf8");
+  const section = (file.split(`[roles.${role}]`)[1] ?? "").split("\n[")[0];
+  const text = (name) => new RegExp(`^${name} = "(.*)"$`, "m").exec(section)?.[1] ?? "";
+  const table = /^env = \{(.*)\}$/m.exec(section)?.[1] ?? "";
+  const env = Object.fromEntries([...table.matchAll(/(\w+) = "((?:[^"\\]|\\.)*)"/g)].map(([, name, value]) => [name, fill(value, fields)]));
+  return { words: fill(text("run"), fields).split(" "), template: text("template"), env };
 }
 
 export function route(change = {}) {
@@ -278,9 +289,9 @@
     };
   }
   async admission(backend, service) {
-    const program = new Program(this, "admission", render("admission", this.#fields(`side-${this.programs.length}`, {
+    const program = new Program(this, "admission", this.#fields(`side-${this.programs.length}`, {
       ip: backend.host, service, app: `${backend.host}:${backend.port}`,
-    })));
+    }));
     this.programs.push(program);
     await until(() => program.of("start").length > 0, 10000, "admission starts");
     return program;
@@ -289,9 +300,9 @@
     const ip = newHost();
     const front = await freePort(ip);
     const ready = await freePort(ip);
-    const program = new Program(this, "router", render("router", this.#fields(`edge-${this.programs.length}`, {
+    const program = new Program(this, "router", this.#fields(`edge-${this.programs.length}`, {
       ip, listen: { front: `${ip}:${front}`, ready: `${ip}:${ready}` },
-    })));
+    }));
     Object.assign(program, { host: ip, port: front, ready });
     this.programs.push(program);
     await until(() => isReady(program), 15000, "router is ready");
