--- a/src/common/upload_buffer.ts
+++ b/src/common/byte_buffer.ts
@@ -18,7 +18,7 @@
 const createResizable = ArrayBuffer as unknown as ResizableBufferConstructor;
 
 /** Bytes of one body of at most `limitBytes`. */
-export class UploadBuffer {
+export class ByteBuffer {
   readonly #limitBytes: number;
   #memory = Buffer.alloc(0);
   #resizable: ResizableBuffer | null = null;
--- a/src/router/upload.ts
+++ b/src/router/upload.ts
@@ -2,9 +2,9 @@
 
 import type { IncomingMessage } from "node:http";
 import { err, ok, type Result } from "neverthrow";
+import { ByteBuffer } from "../common/byte_buffer.ts";
 import type { HeldBytes } from "../common/held_bytes.ts";
 import type { Holding } from "../common/holding.ts";
-import { UploadBuffer } from "../common/upload_buffer.ts";
 import { badRequest, type Failure, notRun } from "./failure.ts";
 
 /** Retry-After of bodies for which there was no memory. */
@@ -30,7 +30,7 @@
   readonly #request: IncomingMessage;
   readonly #limitBytes: number;
   readonly #holding: Holding;
-  readonly #buffer: UploadBuffer;
+  readonly #buffer: ByteBuffer;
   #outcome: Outcome | null = null;
   #settle: ((outcome: Outcome) => void) | null = null;
 
@@ -45,7 +45,7 @@
   ) {
     this.#request = request;
     this.#limitBytes = limitBytes;
-    this.#buffer = new UploadBuffer(limitBytes);
+    this.#buffer = new ByteBuffer(limitBytes);
     this.#holding = held.open({
       ...{ kind: "upload", group },
       onYield: () => this.#fail(noMemory()),
