direct: put what a server sends together in one buffer that counts as held

Cause: EventSplitter and Relay kept each piece as a Buffer of its own, over a hundred bytes of heap whatever it holds, and bounded bytes only; nothing bounded all responses together.

Change: HeldBuffer puts the pieces together and counts them in the ledger of held bytes, as held by their server. When memory is short, responses of the server that holds most yield and are broken off.

Ruled out: that the queue of writes alone does it; the cases with callers that read fail without it, too.

The unit test of linear time sends 100,000 pieces of 10 bytes instead of 20,000 of 100: an event may have 1 MB now, and 50 GB instead of 20 GB would be copied. The crowd of the tests waits for its connection before it writes: a short piece that waits reports no drain, and each crowd of short pieces took 15 s.

--- a/src/common/holding.ts
+++ b/src/common/holding.ts
@@ -13,12 +13,12 @@
 export type YieldReason = "stalled" | "largest-group";
 
 /** What a holding is for, as metrics name it. */
-export type HoldingKind = "upload" | "connection";
+export type HoldingKind = "upload" | "connection" | "response";
 
 /** What the holder of bytes tells about them. */
 export interface HoldingOptions {
   readonly kind: HoldingKind;
-  /** Who holds them at first: a team, or the address of a caller. */
+  /** Who holds them at first: a team, the address of a caller, or a server. */
   readonly group: string;
   /**
    * Gives the bytes up when others need the memory; the holding is closed
--- a/src/direct/event_splitter.ts
+++ b/src/direct/event_splitter.ts
@@ -1,9 +1,14 @@
 /** Splits an event stream so that only complete events are forwarded. */
 
+import type { HeldBuffer } from "../common/held_buffer.ts";
 import type { ResponseHeaders } from "./dialect.ts";
 
+/** Longest event of a stream; an event of a few tokens is under a kilobyte. */
+export const EVENT_LIMIT_BYTES = 1024 * 1024;
+
 const LINE_FEED = 0x0a;
 const CARRIAGE_RETURN = 0x0d;
+const NO_BYTES = Buffer.alloc(0);
 const ID_LINE = /^id:\s?(.*)$/m;
 
 /** How far a stream has come, over all servers that it comes from. */
@@ -12,21 +17,24 @@
   lastId: string | null;
 }
 
+/** Why a stream can't be read on. */
+export type StreamFailure = "event-too-long" | "no-memory";
+
 /** Finds where events end. */
 export class EventTracker {
   #line: "empty" | "carriage-return" | "text" = "empty";
   #partialBytes = 0;
 
-  /** Bytes of the event that is not complete yet. */
-  get partialBytes(): number {
-    return this.#partialBytes;
-  }
-
   /** Whether the stream is within an event. */
   get hasPartialEvent(): boolean {
     return this.#partialBytes > 0;
   }
 
+  /** Why the stream can't be read on; null if it can. */
+  get failure(): StreamFailure | null {
+    return this.#partialBytes > EVENT_LIMIT_BYTES ? "event-too-long" : null;
+  }
+
   /** Adds bytes; returns all of them. */
   push(bytes: Buffer): Buffer {
     this.endOfLastEvent(bytes);
@@ -63,10 +71,13 @@
 export class EventSplitter {
   readonly #progress: StreamProgress;
   readonly #tracker = new EventTracker();
-  #partial: Buffer[] = [];
+  readonly #partial: HeldBuffer;
+  #failure: StreamFailure | null = null;
 
-  constructor(progress: StreamProgress) {
+  /** @param partial buffer for `EVENT_LIMIT_BYTES`, which its creator frees */
+  constructor(progress: StreamProgress, partial: HeldBuffer) {
     this.#progress = progress;
+    this.#partial = partial;
   }
 
   /** Whether a partial event is buffered. */
@@ -74,23 +85,36 @@
     return this.#tracker.hasPartialEvent;
   }
 
-  /** Bytes of the partial event. */
-  get partialBytes(): number {
-    return this.#tracker.partialBytes;
+  /** Why the stream can't be read on; null if it can. */
+  get failure(): StreamFailure | null {
+    return this.#failure;
   }
 
   /** Adds bytes; returns the events that are complete now. */
   push(bytes: Buffer): Buffer {
     const end = this.#tracker.endOfLastEvent(bytes);
-    if (end === 0) {
-      this.#partial.push(bytes);
-      return Buffer.alloc(0);
-    }
-    const complete = Buffer.concat([...this.#partial, bytes.subarray(0, end)]);
-    this.#partial = end < bytes.length ? [bytes.subarray(end)] : [];
+    const complete =
+      end === 0 ? NO_BYTES : this.#partial.take(bytes.subarray(0, end));
+    if (end < bytes.length) this.#keep(bytes.subarray(end));
     this.#progress.lastId = lastIdIn(complete) ?? this.#progress.lastId;
     return complete;
   }
+
+  #keep(bytes: Buffer): void {
+    const appended = this.#partial.append(bytes);
+    switch (appended) {
+      case "kept":
+        return;
+      case "over-limit":
+        this.#failure = "event-too-long";
+        return;
+      case "no-memory":
+        this.#failure = "no-memory";
+        return;
+      default:
+        appended satisfies never;
+    }
+  }
 }
 
 /** Whether a response is an event stream, given that its route streams. */
--- a/src/direct/exchange.ts
+++ b/src/direct/exchange.ts
@@ -1,7 +1,6 @@
 /** Serves one caller's request, from its headers to the end of its response. */
 
 import type { IncomingMessage, ServerResponse } from "node:http";
-import type { HeldBytes } from "../common/held_bytes.ts";
 import type { TeamShares, TeamTally } from "../fairness/mod.ts";
 import type { MetricsRegistry } from "../metrics/registry.ts";
 import type { StreamOrigin } from "../origins/mod.ts";
@@ -74,8 +73,6 @@
   readonly teamShares: TeamShares;
   readonly callerWaits: CallerWaitEstimator;
   readonly zoneRegions: ZoneRegions;
-  /** Memory for what callers have sent. */
-  readonly held: HeldBytes;
 }
 
 /** How an unread request is refused. */
--- a/src/direct/relay.ts
+++ b/src/direct/relay.ts
@@ -1,6 +1,8 @@
 /** Sends a request to a backend server and forwards the response. */
 
 import type { Dispatcher } from "undici";
+import { HeldBuffer } from "../common/held_buffer.ts";
+import type { HeldBytes } from "../common/held_bytes.ts";
 import type {
   BackendConnection,
   BackendRequest,
@@ -8,9 +10,12 @@
 import { type CallerResponse, framingOf } from "./caller_response.ts";
 import type { Dialect, ResponseHeaders, ResponseTerms } from "./dialect.ts";
 import {
-  type EventSplitter,
+  EVENT_LIMIT_BYTES,
+  EventSplitter,
   EventTracker,
   isEventStream,
+  type StreamFailure,
+  type StreamProgress,
 } from "./event_splitter.ts";
 
 /**
@@ -18,14 +23,15 @@
  * send can still be retried.
  */
 const BUFFER_LIMIT_BYTES = 64 * 1024;
-/** Longest event of a stream; an event of a few tokens is under a kilobyte. */
-const EVENT_LIMIT_BYTES = 1024 * 1024;
+/** More than one turn of the event loop reads from a connection (2 MiB). */
+const TURN_LIMIT_BYTES = 4 * 1024 * 1024;
 /** Longest body that is read after its head has decided the result. */
 const DISCARD_LIMIT_BYTES = BUFFER_LIMIT_BYTES;
 /** Servers are a few milliseconds away; a short body comes with its head. */
 const DISCARD_TIMEOUT_MS = 100;
 /** Logged as the reason of a broken response. */
 const PARTIAL_EVENT = "The stream ended within an event";
+const NO_MEMORY = "There is no memory left for the server's response";
 
 /** How a send ended. */
 export type SendResult =
@@ -46,11 +52,14 @@
 export interface RelayOptions {
   /** Id that the response must name, if it names one. */
   readonly requestId: string | null;
+  /** Id of the server, which holds the memory that its response takes. */
+  readonly server: string;
+  readonly held: HeldBytes;
   readonly dialect: Dialect;
   /** Whether 5xx responses are withheld, so that the request can be retried. */
   readonly withholdsFailures: boolean;
-  /** Splitter of a resumable event stream; null for other responses. */
-  readonly splitter: EventSplitter | null;
+  /** Progress of a resumable event stream; null for other responses. */
+  readonly progress: StreamProgress | null;
   /** Whether the response is forwarded as it arrives instead of buffered. */
   readonly streaming: boolean;
   /** Time without data that counts as silence; null if it doesn't matter. */
@@ -85,10 +94,13 @@
   /** Finds the ends of events; null if the response isn't an event stream. */
   #events: EventSplitter | EventTracker | null = null;
   #receivedBytes = 0;
-  #buffered: Buffer[] | null = null;
-  #bufferedBytes = 0;
-  /** Bytes of a response without a length that were read in this turn. */
-  #held: Buffer[] = [];
+  /** Whether the response is buffered until it is complete. */
+  #isBuffered = false;
+  /** Bytes that wait to be forwarded. */
+  readonly #waiting: HeldBuffer;
+  readonly #partialEvent: HeldBuffer;
+  /** Null if the response isn't a resumable event stream. */
+  #splitter: EventSplitter | null = null;
   #discardedBytes = 0;
   #discardTimer: NodeJS.Timeout | null = null;
   #silenceTimer: NodeJS.Timeout | null = null;
@@ -102,6 +114,8 @@
     this.#response = response;
     this.#connection = connection;
     this.#options = options;
+    this.#waiting = this.#createBuffer(TURN_LIMIT_BYTES);
+    this.#partialEvent = this.#createBuffer(EVENT_LIMIT_BYTES);
   }
 
   /** Sends the request; resolves with the result and never rejects. */
@@ -187,16 +201,16 @@
       return;
     }
     this.#noteActivity();
-    const { streaming, splitter } = this.#options;
-    if (streaming && isEventStream(status, headers))
-      this.#events = splitter ?? new EventTracker();
-    if (!streaming) this.#buffered = [];
+    const { streaming, progress } = this.#options;
+    if (streaming && isEventStream(status, headers)) {
+      if (progress !== null)
+        this.#splitter = new EventSplitter(progress, this.#partialEvent);
+      this.#events = this.#splitter ?? new EventTracker();
+    }
+    if (!streaming) this.#isBuffered = true;
     // A resumable stream starts with its first complete event, and a response
     // without a length with what isn't reset at once.
-    else if (
-      (this.#events === null || splitter === null) &&
-      !this.#lastsUntilClose
-    )
+    else if (this.#splitter === null && !this.#lastsUntilClose)
       this.#startResponse();
   }
 
@@ -241,14 +255,13 @@
     }
     this.#options.onData();
     // A server that sends parts of an event now and then is as good as silent.
-    if (this.#options.splitter === null) this.#noteActivity();
-    if (this.#buffered === null) {
+    if (this.#options.progress === null) this.#noteActivity();
+    if (!this.#isBuffered) {
       this.#pass(controller, chunk);
       return;
     }
-    this.#buffered.push(chunk);
-    this.#bufferedBytes += chunk.length;
-    if (this.#bufferedBytes > BUFFER_LIMIT_BYTES) this.#flush(controller);
+    this.#keep(chunk);
+    if (this.#waiting.sizeBytes > BUFFER_LIMIT_BYTES) this.#flush(controller);
   }
 
   /**
@@ -261,16 +274,26 @@
       this.#forward(controller, chunk);
       return;
     }
-    this.#held.push(chunk);
-    if (this.#held.length === 1)
-      setImmediate(() => this.#forwardHeld(controller));
+    if (this.#waiting.sizeBytes + chunk.length > TURN_LIMIT_BYTES)
+      this.#forwardWaiting(controller);
+    if (this.#waiting.sizeBytes === 0) this.#forwardInNextTurn(controller);
+    this.#keep(chunk);
+  }
+
+  #forwardInNextTurn(controller: Controller): void {
+    setImmediate(() => this.#forwardWaiting(controller));
   }
 
-  #forwardHeld(controller: Controller): void {
-    if (this.#hasEnded || this.#held.length === 0) return;
-    const held = Buffer.concat(this.#held);
-    this.#held = [];
-    this.#forward(controller, held);
+  #forwardWaiting(controller: Controller): void {
+    if (this.#hasEnded || this.#isBuffered) return;
+    if (this.#waiting.sizeBytes > 0)
+      this.#forward(controller, this.#waiting.take());
+  }
+
+  /** Keeps bytes that can't be forwarded yet. */
+  #keep(chunk: Buffer): void {
+    if (!this.#hasEnded && this.#waiting.append(chunk) !== "kept")
+      this.#break(NO_MEMORY);
   }
 
   #forward(controller: Controller, chunk: Buffer): void {
@@ -281,8 +304,9 @@
       this.#break(PARTIAL_EVENT);
       return;
     }
-    if ((this.#events?.partialBytes ?? 0) > EVENT_LIMIT_BYTES) {
-      this.#break(`An event is over ${EVENT_LIMIT_BYTES} bytes long`);
+    const failure = this.#events?.failure ?? null;
+    if (failure !== null) {
+      this.#break(reasonOf(failure));
       return;
     }
     if (bytes.length === 0) return;
@@ -300,9 +324,9 @@
 
   /** Forwards what is buffered of a response over the buffer limit. */
   #flush(controller: Controller): void {
-    const buffered = Buffer.concat(this.#buffered ?? []);
-    this.#buffered = null;
-    this.#pass(controller, buffered);
+    this.#isBuffered = false;
+    if (this.#lastsUntilClose) this.#forwardInNextTurn(controller);
+    else this.#forwardWaiting(controller);
   }
 
   get #lastsUntilClose(): boolean {
@@ -317,8 +341,7 @@
   #startResponse(): void {
     this.#options.onClaim();
     if (this.#response.hasStarted) return;
-    const { splitter } = this.#options;
-    const isResumable = splitter !== null && this.#events === splitter;
+    const isResumable = this.#splitter !== null;
     this.#response.start(this.#status, this.#headers, { isResumable });
   }
 
@@ -331,7 +354,7 @@
       this.#break(error.message);
       return;
     }
-    this.#forwardHeld(controller);
+    this.#forwardWaiting(controller);
     if (this.#hasEnded) return;
     const status = this.#status;
     switch (this.#disposition) {
@@ -366,7 +389,7 @@
 
   #finish(status: number): void {
     this.#startResponse();
-    for (const bytes of this.#buffered ?? []) this.#response.write(bytes);
+    if (this.#waiting.sizeBytes > 0) this.#response.write(this.#waiting.take());
     this.#response.end();
     this.#end({ type: "complete", status });
   }
@@ -379,6 +402,27 @@
   #end(result: SendResult): void {
     if (this.#hasEnded) return;
     this.#hasEnded = true;
+    this.#waiting.free();
+    this.#partialEvent.free();
     this.#resolve(result);
   }
+
+  #createBuffer(limitBytes: number): HeldBuffer {
+    const { held, server } = this.#options;
+    return new HeldBuffer(held, {
+      ...{ kind: "response", group: `server ${server}`, limitBytes },
+      onYield: () => this.#break(NO_MEMORY),
+    });
+  }
+}
+
+function reasonOf(failure: StreamFailure): string {
+  switch (failure) {
+    case "event-too-long":
+      return `An event is over ${EVENT_LIMIT_BYTES} bytes long`;
+    case "no-memory":
+      return NO_MEMORY;
+    default:
+      return failure satisfies never;
+  }
 }
--- a/src/direct/request_sender.ts
+++ b/src/direct/request_sender.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage } from "node:http";
 import type { Clock } from "../common/clock.ts";
 import type { EventLog } from "../common/event_log.ts";
+import type { HeldBytes } from "../common/held_bytes.ts";
 import type { BackendServer, ServerNotice } from "../directory/mod.ts";
 import type { StreamOrigin } from "../origins/mod.ts";
 import type {
@@ -18,7 +19,7 @@
 import type { ConnectionPool } from "./connection_pool.ts";
 import type { CrashGuard } from "./crash_guard.ts";
 import type { Dialect, ResponseTerms } from "./dialect.ts";
-import { EventSplitter, type StreamProgress } from "./event_splitter.ts";
+import type { StreamProgress } from "./event_splitter.ts";
 import { HedgedSend, type SendOptions, type SendRole } from "./hedged_send.ts";
 import { Relay } from "./relay.ts";
 import type { RequestRecord } from "./request_record.ts";
@@ -56,6 +57,8 @@
   readonly retryBudget: RetryBudget;
   readonly crashGuard: CrashGuard;
   readonly origins: StreamOrigins;
+  /** Memory for what callers and servers have sent. */
+  readonly held: HeldBytes;
   /** Called with what a server says of itself. */
   readonly onServerNotice: (
     server: BackendServer,
@@ -267,7 +270,8 @@
           requestId: admitted.terms.id,
           dialect: this.#deps.dialect,
           withholdsFailures: role === "backup" || this.isRepeatable,
-          splitter: this.#progress && new EventSplitter(this.#progress),
+          progress: this.#progress,
+          ...{ held: this.#deps.held, server: placement.server.id },
           streaming: admitted.route.streaming,
           onHead: (terms) => {
             this.#recordLimit(placement, terms);
--- a/tests/direct/parts_test.ts
+++ b/tests/direct/parts_test.ts
@@ -3,12 +3,15 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { EventLog } from "../../src/common/event_log.ts";
+import { HeldBuffer } from "../../src/common/held_buffer.ts";
+import { HeldBytes } from "../../src/common/held_bytes.ts";
 import { ConfigurationState } from "../../src/direct/configuration_state.ts";
 import {
   type BrokenRequest,
   CrashDetector,
 } from "../../src/direct/crash_detector.ts";
 import {
+  EVENT_LIMIT_BYTES,
   EventSplitter,
   type StreamProgress,
 } from "../../src/direct/event_splitter.ts";
@@ -93,10 +96,21 @@
   assert.equal(configuration.keysAreFresh, false);
 });
 
+function createSplitter(
+  progress: StreamProgress = { lastId: null },
+  memoryBytes = 2 * EVENT_LIMIT_BYTES,
+): EventSplitter {
+  const clock = createManualClock();
+  const held = new HeldBytes(clock, { limitBytes: memoryBytes });
+  const limitBytes = EVENT_LIMIT_BYTES;
+  const options = { kind: "response", group: "s1", limitBytes } as const;
+  return new EventSplitter(progress, new HeldBuffer(held, options));
+}
+
 test("the splitter returns only complete events", () => {
   const progress: StreamProgress = { lastId: null };
-  const first = new EventSplitter(progress);
-  const second = new EventSplitter(progress);
+  const first = createSplitter(progress);
+  const second = createSplitter(progress);
   const push = (splitter: EventSplitter, text: string) =>
     splitter.push(Buffer.from(text)).toString();
   assert.equal(push(first, "id: 1\ndata: a\n"), "");
@@ -109,7 +123,7 @@
 });
 
 test("the splitter finds blank lines that are split over chunks", () => {
-  const splitter = new EventSplitter({ lastId: null });
+  const splitter = createSplitter();
   const push = (text: string) => splitter.push(Buffer.from(text)).toString();
   assert.equal(push("data: a\r\n\r"), "");
   assert.equal(push("\n"), "data: a\r\n\r\n");
@@ -121,14 +135,28 @@
 });
 
 test("the splitter takes linear time for a long event", () => {
-  const splitter = new EventSplitter({ lastId: null });
-  const chunk = Buffer.alloc(100, "x");
+  const splitter = createSplitter();
+  const chunk = Buffer.alloc(10, "x");
   const startMs = performance.now();
-  for (let i = 0; i < 20_000; i += 1) splitter.push(chunk);
-  // 20 GB would be copied if every chunk were joined to those before it.
+  for (let i = 0; i < 100_000; i += 1) splitter.push(chunk);
+  assert.equal(splitter.failure, null);
+  // 50 GB would be copied if every chunk were joined to those before it.
   assert.ok(performance.now() - startMs < 1_000);
 });
 
+test("the splitter keeps no event beyond its limit or the memory", () => {
+  const event = Buffer.alloc(EVENT_LIMIT_BYTES, "x");
+  const long = createSplitter();
+  long.push(event);
+  assert.equal(long.failure, null);
+  long.push(Buffer.from("x"));
+  assert.equal(long.failure, "event-too-long");
+  const short = createSplitter({ lastId: null }, EVENT_LIMIT_BYTES / 2);
+  assert.equal(short.push(Buffer.from("id: 1\n\n")).toString(), "id: 1\n\n");
+  short.push(event);
+  assert.equal(short.failure, "no-memory");
+});
+
 function brokenRequest(fingerprint: string): BrokenRequest {
   return { fingerprint, parts: [`part of ${fingerprint}`] };
 }
--- a/tests/direct/relay_test.ts
+++ b/tests/direct/relay_test.ts
@@ -5,13 +5,16 @@
 import { Socket } from "node:net";
 import { test } from "node:test";
 import { headerDialect } from "../../platform/header_dialect.ts";
+import { HeldBytes } from "../../src/common/held_bytes.ts";
 import { BackendConnection } from "../../src/direct/backend_connection.ts";
 import { CallerResponse } from "../../src/direct/caller_response.ts";
 import { Relay } from "../../src/direct/relay.ts";
 import { ScriptedServer } from "../../stand_ins/scripted_server.ts";
+import { createManualClock } from "../support/manual_clock.ts";
 import { createServer } from "../support/servers.ts";
 import { respondCompletely } from "./fixture.ts";
 
+const MEMORY = { limitBytes: 1_000_000 };
 const REQUEST = {
   ...{ method: "GET", path: "/", body: Buffer.alloc(0) },
   headers: ["X-Attempt-Id", "id-1"],
@@ -23,7 +26,8 @@
     idleTimeoutMs: () => null,
   });
   return new Relay(response, connection, {
-    ...{ requestId: "id-1", dialect: headerDialect, splitter: null },
+    ...{ requestId: "id-1", dialect: headerDialect, progress: null },
+    ...{ server: "s1", held: new HeldBytes(createManualClock(), MEMORY) },
     ...{ withholdsFailures: true, streaming: false, silenceTimeoutMs: null },
     ...{ onSilence: () => {}, onResumed: () => {}, onClaim: () => {} },
     ...{ onHead: () => {}, onData: () => {} },
--- a/tests/support/crowd.ts
+++ b/tests/support/crowd.ts
@@ -41,6 +41,8 @@
     socket.on("error", () => undefined);
     if (options.reads === "reads-nothing") socket.pause();
     else socket.resume();
+    // What is written before would wait, and no drain would be reported.
+    await once(socket, "connect").catch(() => undefined);
     for (const piece of options.pieces(index)) {
       if (socket.destroyed || !socket.writable) return;
       if (!socket.write(piece) && !(await this.#drains(socket))) return;
