direct: put small pieces together before a caller that reads slowly

Cause: each piece was written by itself. A response is paused once 16 KB wait, but in one-byte chunks these are thousands of writes with some four objects each; of buffered routes, too, whose rest is forwarded as it arrives.

Change: BodyWriter has one write in progress, and puts what comes meanwhile together into the next one.

--- a/src/direct/caller_response.ts
+++ b/src/direct/caller_response.ts
@@ -4,6 +4,7 @@
 import type { Socket } from "node:net";
 import { HOP_BY_HOP_HEADERS } from "../common/hop_by_hop_headers.ts";
 import { bodyOf, type Failure } from "../router/failure.ts";
+import { BodyWriter } from "./body_writer.ts";
 import type { Dialect, ResponseHeaders } from "./dialect.ts";
 
 /** Headers that only concern the connection to a backend server. */
@@ -54,6 +55,7 @@
 export class CallerResponse {
   readonly #request: IncomingMessage;
   readonly #response: ServerResponse;
+  readonly #body: BodyWriter;
   readonly #socket: Socket;
   readonly #options: CallerResponseOptions;
   readonly #disconnect = new AbortController();
@@ -68,6 +70,7 @@
   ) {
     this.#request = request;
     this.#response = response;
+    this.#body = new BodyWriter(response);
     this.#options = options;
     const { socket } = request;
     this.#socket = socket;
@@ -145,19 +148,19 @@
     response.flushHeaders();
   }
 
-  /** Sends body bytes; returns false if the write buffer is full. */
+  /** Sends body bytes; returns false if the caller should take them first. */
   write(bytes: Buffer): boolean {
-    return this.#response.write(bytes);
+    return this.#body.write(bytes);
   }
 
-  /** Calls back once when the write buffer has drained. */
+  /** Calls back once when the caller has taken everything. */
   onDrain(callback: () => void): void {
-    this.#response.once("drain", callback);
+    this.#body.onDrain(callback);
   }
 
   /** Ends a complete response. */
   end(): void {
-    this.#response.end();
+    this.#body.end();
   }
 
   /** Resets the connection, so that a truncated response can't look complete. */
