--- a/src/common/body_text.ts
+++ b/src/common/body_text.ts
@@ -1,5 +1,7 @@
 /** Reads the body of an HTTP response into memory, up to a limit. */
 
+import { ByteBuffer } from "./byte_buffer.ts";
+
 /**
  * Returns the body as text. Closes the connection and rejects once the body is
  * over `limitBytes` long, since a faulty peer may send bytes without end.
@@ -8,13 +10,13 @@
   body: AsyncIterable<Buffer>,
   limitBytes: number,
 ): Promise<string> {
-  const chunks: Buffer[] = [];
-  let receivedBytes = 0;
+  const received = new ByteBuffer(limitBytes);
   for await (const chunk of body) {
-    receivedBytes += chunk.length;
-    if (receivedBytes > limitBytes)
+    if (received.sizeBytes + chunk.length > limitBytes)
       throw new Error(`Response is over ${limitBytes} bytes long`);
-    chunks.push(chunk);
+    received.append(chunk);
   }
-  return Buffer.concat(chunks).toString("utf8");
+  const text = received.bytes.toString("utf8");
+  received.free();
+  return text;
 }
--- a/tests/on_platform/endless_listing_test.ts
+++ b/tests/on_platform/endless_listing_test.ts
@@ -68,6 +68,29 @@
   });
 }
 
+/** As in the deploy file. */
+const NODE_FLAGS = ["--max-old-space-size=96"];
+const LISTING_BYTES = 4 * 1024 * 1024;
+
+// Guards against an admission controller that bounds the bytes of a listing, but
+// not the objects that are made of them, and runs out of memory.
+for (const [kind, text] of [
+  ["empty objects", `${LISTING}${"{},".repeat(1_398_000)}[]]}`],
+  ["nested lists", `${"[".repeat(2_097_000)}${"]".repeat(2_097_000)}`],
+] as const) {
+  test(`a cache listing of ${kind} is given up`, async () => {
+    assert.ok(text.length <= LISTING_BYTES);
+    fleet = await ProgramFleet.start();
+    await fleet.addServer(({ socket }) => {
+      socket.write(`${OK}Content-Length: ${text.length}\r\n\r\n${text}`);
+    });
+    const admission = await fleet.startAdmission({ nodeFlags: NODE_FLAGS });
+    await waitForEvent(admission, "cache-unknown");
+    assert.ok((await peakBytesOf(admission)) < MACHINE_BYTES);
+    assert.deepEqual(await terminate(admission), [0, null]);
+  });
+}
+
 test("a long cache listing is read whole", async () => {
   const parts = 50_000;
   const held = Array.from({ length: parts }, (_, index) => [
