direct: limit the lines of a server's head

Change: a connection to a server ends after 256 lines without a part of a body, and a response with more fields than that is broken. The check moved from a listener, which ran before the HTTP client had read, into the socket's `read`: a server that stops within its head gave no further event.

--- a/src/direct/backend_connection.ts
+++ b/src/direct/backend_connection.ts
@@ -1,11 +1,10 @@
 /** One connection to a backend server, which carries one request at a time. */
 
-import { connect as connectTcp, type Socket } from "node:net";
 import { err, ok, type Result } from "neverthrow";
 import { type buildConnector, Client, type Dispatcher } from "undici";
 import { errorAtEnd } from "../common/connection_end.ts";
 import type { BackendServer } from "../directory/mod.ts";
-import { OverheadLimit } from "./overhead_limit.ts";
+import { BackendSocket } from "./backend_socket.ts";
 
 /**
  * Timeout of a connection attempt. Servers are a few milliseconds away, and a
@@ -36,16 +35,14 @@
 /** Sends requests one after the other over one socket; doesn't reconnect. */
 export class BackendConnection {
   readonly #client: Client;
-  readonly #socket: Socket;
-  readonly #overheadLimit: OverheadLimit;
+  readonly #socket: BackendSocket;
   #error: Error | null = null;
   #closed = false;
   #sentRequests = 0;
   #isRetired = false;
 
-  private constructor(origin: string, socket: Socket) {
+  private constructor(origin: string, socket: BackendSocket) {
     this.#socket = socket;
-    this.#overheadLimit = new OverheadLimit(socket);
     socket.on("error", (error) => {
       this.#error = error;
     });
@@ -78,7 +75,9 @@
     port,
   }: BackendServer): Promise<Result<BackendConnection, ConnectionFailure>> {
     return new Promise((resolve) => {
-      const socket = connectTcp({ host, port, noDelay: true });
+      const socket = new BackendSocket();
+      socket.setNoDelay(true);
+      socket.connect({ host, port });
       const timer = setTimeout(() => {
         socket.destroy();
         const reason = `No connection in ${CONNECT_TIMEOUT_MS} ms`;
@@ -127,7 +126,7 @@
   send(request: BackendRequest, handler: Dispatcher.DispatchHandler): void {
     const { method, path, headers, body } = request;
     this.#sentRequests += 1;
-    this.#overheadLimit.restart();
+    this.#socket.restartOverhead();
     this.#client.dispatch(
       {
         method: method as Dispatcher.HttpMethod,
@@ -138,7 +137,7 @@
       {
         ...handler,
         onResponseData: (controller, chunk) => {
-          this.#overheadLimit.restart();
+          this.#socket.restartOverhead();
           handler.onResponseData?.(controller, chunk);
         },
       },
--- a/src/direct/relay.ts
+++ b/src/direct/relay.ts
@@ -7,6 +7,7 @@
   BackendConnection,
   BackendRequest,
 } from "./backend_connection.ts";
+import { HEAD_LIMIT_LINES } from "./backend_socket.ts";
 import { type CallerResponse, framingOf } from "./caller_response.ts";
 import type { Dialect, ResponseHeaders, ResponseTerms } from "./dialect.ts";
 import {
@@ -228,6 +229,8 @@
     } else if (terms.requestId !== requestId) {
       return "The server answered another request";
     }
+    if (Object.keys(headers).length > HEAD_LIMIT_LINES)
+      return `The head has over ${HEAD_LIMIT_LINES} lines`;
     if (terms.notRun) return null;
     if (!terms.authentic) return `Status ${status} is not a server's own`;
     if (headers["content-encoding"] !== undefined) {
--- a/tests/on_platform/held_responses_test.ts
+++ b/tests/on_platform/held_responses_test.ts
@@ -249,3 +249,22 @@
       ...{ route, script: sendChunks("\n"), reads: "reads-nothing" },
       callers: MANY_CALLERS,
     }));
+
+const MANY_LINES = Array.from({ length: 2_600 }, (_, index) => index)
+  .map((index) => `${index.toString(36)}:\r\n`)
+  .join("");
+
+// Guards against heads within their limit of bytes whose lines, an object each,
+// take far more.
+for (const [kind, rest] of [
+  ["that don't end", ""],
+  ["before a body that doesn't end", `${CHUNKED}\r\n${chunkOf("x")}`],
+] as const)
+  test(`heads of many lines ${kind}`, () =>
+    withstand({
+      ...{ route: "stream", callers: MANY_CALLERS },
+      script: (request) => {
+        const head = responseHead(request, MANY_LINES).slice(0, -2);
+        request.socket.write(`${head}${rest}`);
+      },
+    }));
