direct: record the progress of a stream once its events are written

Cause: EventSplitter recorded the last complete event, and Relay#forward returned before it wrote it where the response couldn't go on: at its full length within an event, after an event that is too long or has no memory. The other server then went on after events that the caller never got.

Change: the splitter says which event was the last; Relay#write records it after the write. Complete events before a reason to break off are forwarded.

Ruled out: a wrong Last-Event-Id (the second server got 5, as recorded), events dropped after the resumption (it sent 6 only).

--- a/src/direct/event_splitter.ts
+++ b/src/direct/event_splitter.ts
@@ -13,10 +13,17 @@
 
 /** How far a stream has come, over all servers that it comes from. */
 export interface StreamProgress {
-  /** Id of the last complete event that has one; null before the first. */
+  /** Id of the last event that was forwarded; null before the first. */
   lastId: string | null;
 }
 
+/** What can be forwarded of a stream. */
+export interface ForwardableEvents {
+  readonly bytes: Buffer;
+  /** Id of the last of the events that has one; null if it isn't known. */
+  readonly lastId: string | null;
+}
+
 /** Why a stream can't be read on. */
 export type StreamFailure = "event-too-long" | "no-memory";
 
@@ -36,9 +43,9 @@
   }
 
   /** Adds bytes; returns all of them. */
-  push(bytes: Buffer): Buffer {
+  push(bytes: Buffer): ForwardableEvents {
     this.endOfLastEvent(bytes);
-    return bytes;
+    return { bytes, lastId: null };
   }
 
   /** Adds bytes; returns how many belong to complete events. */
@@ -69,14 +76,12 @@
 
 /** Returns complete events; buffers the bytes of a partial one. */
 export class EventSplitter {
-  readonly #progress: StreamProgress;
   readonly #tracker = new EventTracker();
   readonly #partial: HeldBuffer;
   #failure: StreamFailure | null = null;
 
   /** @param partial buffer for `EVENT_LIMIT_BYTES`, which its creator frees */
-  constructor(progress: StreamProgress, partial: HeldBuffer) {
-    this.#progress = progress;
+  constructor(partial: HeldBuffer) {
     this.#partial = partial;
   }
 
@@ -91,13 +96,12 @@
   }
 
   /** Adds bytes; returns the events that are complete now. */
-  push(bytes: Buffer): Buffer {
+  push(bytes: Buffer): ForwardableEvents {
     const end = this.#tracker.endOfLastEvent(bytes);
     const complete =
       end === 0 ? NO_BYTES : this.#partial.take(bytes.subarray(0, end));
     if (end < bytes.length) this.#keep(bytes.subarray(end));
-    this.#progress.lastId = lastIdIn(complete) ?? this.#progress.lastId;
-    return complete;
+    return { bytes: complete, lastId: lastIdIn(complete) };
   }
 
   #keep(bytes: Buffer): void {
--- a/src/direct/relay.ts
+++ b/src/direct/relay.ts
@@ -14,6 +14,7 @@
   EVENT_LIMIT_BYTES,
   EventSplitter,
   EventTracker,
+  type ForwardableEvents,
   isEventStream,
   type StreamFailure,
   type StreamProgress,
@@ -205,7 +206,7 @@
     const { streaming, progress } = this.#options;
     if (streaming && isEventStream(status, headers)) {
       if (progress !== null)
-        this.#splitter = new EventSplitter(progress, this.#partialEvent);
+        this.#splitter = new EventSplitter(this.#partialEvent);
       this.#events = this.#splitter ?? new EventTracker();
     }
     if (!streaming) this.#isBuffered = true;
@@ -300,22 +301,34 @@
   }
 
   #forward(controller: Controller, chunk: Buffer): void {
-    const bytes = this.#events?.push(chunk) ?? chunk;
+    const events = this.#events?.push(chunk) ?? { bytes: chunk, lastId: null };
     this.#receivedBytes += chunk.length;
-    // The last byte of a response with a length makes it look complete.
-    if (this.#events?.hasPartialEvent && this.#hasFullLength) {
-      this.#break(PARTIAL_EVENT);
+    const reason = this.#reasonToBreak();
+    if (reason === null) {
+      this.#write(controller, events);
       return;
     }
+    // A stream that goes on at another server does so after these events. Where
+    // it can't, the last bytes of a length would make it look complete.
+    if (this.#splitter !== null) this.#write(controller, events);
+    this.#break(reason);
+  }
+
+  /** Why the response can't go on; null if it can. */
+  #reasonToBreak(): string | null {
+    if (this.#events?.hasPartialEvent && this.#hasFullLength)
+      return PARTIAL_EVENT;
     const failure = this.#events?.failure ?? null;
-    if (failure !== null) {
-      this.#break(reasonOf(failure));
-      return;
-    }
+    return failure === null ? null : reasonOf(failure);
+  }
+
+  #write(controller: Controller, { bytes, lastId }: ForwardableEvents): void {
     if (bytes.length === 0) return;
     this.#noteActivity();
     this.#startResponse();
-    if (this.#response.write(bytes)) return;
+    const isTaken = this.#response.write(bytes);
+    this.#noteForwarded(lastId);
+    if (isTaken) return;
     controller.pause();
     // Back pressure from a slow caller isn't silence of the server.
     this.#stopSilenceTimer();
@@ -325,6 +338,12 @@
     });
   }
 
+  /** Another server goes on after this event; call it once it is written. */
+  #noteForwarded(lastId: string | null): void {
+    const { progress } = this.#options;
+    if (progress !== null && lastId !== null) progress.lastId = lastId;
+  }
+
   /** Forwards what is buffered of a response over the buffer limit. */
   #flush(controller: Controller): void {
     this.#isBuffered = false;
--- a/tests/direct/parts_test.ts
+++ b/tests/direct/parts_test.ts
@@ -13,7 +13,6 @@
 import {
   EVENT_LIMIT_BYTES,
   EventSplitter,
-  type StreamProgress,
 } from "../../src/direct/event_splitter.ts";
 import { RetryBudget } from "../../src/direct/retry_budget.ts";
 import { createManualClock } from "../support/manual_clock.ts";
@@ -96,35 +95,39 @@
   assert.equal(configuration.keysAreFresh, false);
 });
 
-function createSplitter(
-  progress: StreamProgress = { lastId: null },
-  memoryBytes = 2 * EVENT_LIMIT_BYTES,
-): EventSplitter {
+function createSplitter(memoryBytes = 2 * EVENT_LIMIT_BYTES): EventSplitter {
   const clock = createManualClock();
   const held = new HeldBytes(clock, { limitBytes: memoryBytes });
   const limitBytes = EVENT_LIMIT_BYTES;
   const options = { kind: "response", group: "s1", limitBytes } as const;
-  return new EventSplitter(progress, new HeldBuffer(held, options));
+  return new EventSplitter(new HeldBuffer(held, options));
 }
 
 test("the splitter returns only complete events", () => {
-  const progress: StreamProgress = { lastId: null };
-  const first = createSplitter(progress);
-  const second = createSplitter(progress);
-  const push = (splitter: EventSplitter, text: string) =>
-    splitter.push(Buffer.from(text)).toString();
-  assert.equal(push(first, "id: 1\ndata: a\n"), "");
-  assert.equal(push(first, "\nid: 2\ndata"), "id: 1\ndata: a\n\n");
-  assert.equal(progress.lastId, "1");
-  assert.equal(first.hasPartialEvent, true);
-  assert.equal(push(second, "id: 2\ndata: b\n\n"), "id: 2\ndata: b\n\n");
-  assert.equal(second.hasPartialEvent, false);
-  assert.equal(progress.lastId, "2");
+  const splitter = createSplitter();
+  const push = (text: string) => {
+    const { bytes, lastId } = splitter.push(Buffer.from(text));
+    return { text: bytes.toString(), lastId };
+  };
+  const nothing = { text: "", lastId: null };
+  assert.deepEqual(push("id: 1\ndata: a\n"), nothing);
+  assert.deepEqual(push("\nid: 2\ndata"), {
+    ...{ text: "id: 1\ndata: a\n\n", lastId: "1" },
+  });
+  assert.equal(splitter.hasPartialEvent, true);
+  assert.deepEqual(push(": b\n\nid: 3\n\n"), {
+    ...{ text: "id: 2\ndata: b\n\nid: 3\n\n", lastId: "3" },
+  });
+  assert.equal(splitter.hasPartialEvent, false);
+  assert.deepEqual(push("data: c\n\n"), {
+    ...{ text: "data: c\n\n", lastId: null },
+  });
 });
 
 test("the splitter finds blank lines that are split over chunks", () => {
   const splitter = createSplitter();
-  const push = (text: string) => splitter.push(Buffer.from(text)).toString();
+  const push = (text: string) =>
+    splitter.push(Buffer.from(text)).bytes.toString();
   assert.equal(push("data: a\r\n\r"), "");
   assert.equal(push("\n"), "data: a\r\n\r\n");
   assert.equal(push("\n"), "\n");
@@ -151,8 +154,8 @@
   assert.equal(long.failure, null);
   long.push(Buffer.from("x"));
   assert.equal(long.failure, "event-too-long");
-  const short = createSplitter({ lastId: null }, EVENT_LIMIT_BYTES / 2);
-  assert.equal(short.push(Buffer.from("id: 1\n\n")).toString(), "id: 1\n\n");
+  const short = createSplitter(EVENT_LIMIT_BYTES / 2);
+  assert.equal(short.push(Buffer.from("id: 1\n\n")).lastId, "1");
   short.push(event);
   assert.equal(short.failure, "no-memory");
 });
