direct, side_process: take an invalid status for a broken response

With X-Not-Executed, the router believed that the request hadn't run. 000 to 099 became 502 by an assertion of the HTTP client.

Cause: the parser takes any three digits; RFC 9110, section 15, has 100 to 599.

Change: such a response is broken on both ways to a server: nothing of it is forwarded, it promises nothing, and the request is repeated where it may be.

--- a/src/direct/relay.ts
+++ b/src/direct/relay.ts
@@ -3,6 +3,7 @@
 import type { Dispatcher } from "undici";
 import { HeldBuffer } from "../common/held_buffer.ts";
 import type { HeldBytes } from "../common/held_bytes.ts";
+import { isInformational, isValidStatus } from "../common/http_status.ts";
 import type {
   BackendConnection,
   BackendRequest,
@@ -183,7 +184,7 @@
   }
 
   #onHeaders(status: number, headers: ResponseHeaders): void {
-    if (status < 200 || this.#hasEnded) return;
+    if (isInformational(status) || this.#hasEnded) return;
     const { dialect } = this.#options;
     const terms = dialect.readResponse(status, headers);
     const rejection = this.#rejectionReason(status, headers, terms);
@@ -223,6 +224,7 @@
     terms: ResponseTerms,
   ): string | null {
     const { requestId } = this.#options;
+    if (!isValidStatus(status)) return `Status ${status} is invalid`;
     if (terms.requestId === null) {
       // It may be a copy of the response to an earlier request.
       if (!this.#connection.isFirstUse)
--- a/src/side_process/backend_client.ts
+++ b/src/side_process/backend_client.ts
@@ -4,6 +4,7 @@
 import { buildConnector, type Dispatcher, type Pool, request } from "undici";
 import { messageOf } from "../common/error_message.ts";
 import { HOP_BY_HOP_HEADERS } from "../common/hop_by_hop_headers.ts";
+import { isValidStatus } from "../common/http_status.ts";
 import type { BackendServer } from "../configuration/mod.ts";
 import type { Header, RunRequest } from "../protocol/mod.ts";
 import { createServerPool } from "./server_client.ts";
@@ -149,6 +150,11 @@
         ...options,
         dispatcher: this.#pool,
       });
+      if (!isValidStatus(response.statusCode)) {
+        const sentence = `Status ${response.statusCode} is invalid`;
+        response.body.on("error", () => undefined).destroy();
+        return err({ type: "broken", sentence });
+      }
       return ok({
         status: response.statusCode,
         headers: toHeaders(response.headers),
--- a/tests/side_process/backend_client_test.ts
+++ b/tests/side_process/backend_client_test.ts
@@ -77,3 +77,13 @@
   for (let repeat = 0; repeat < REPEATS; repeat += 1)
     assert.equal(await call(), "whole");
 });
+
+for (const status of ["000", "099", "600", "999"])
+  test(`a response whose status is ${status} is broken`, async () => {
+    await start(({ socket }) => {
+      const head = `HTTP/1.1 ${status} Odd\r\nContent-Length: 4`;
+      socket.write(`${head}\r\n\r\nodd!`);
+    });
+    for (let repeat = 0; repeat < REPEATS; repeat += 1)
+      assert.equal(await call(), null);
+  });
