side_process: a response without a length that is reset later is broken

Cause: undici takes ECONNRESET for the end of such a response. ServerClient looked for the error at the socket's end only, which is how a reset that is read together with data shows; one that is read by itself is an error event.

Ruled out on src/direct: BackendConnection listens for both.

Change: the error event is recorded before undici handles it.

--- a/src/side_process/server_client.ts
+++ b/src/side_process/server_client.ts
@@ -56,8 +56,12 @@
             return;
           }
           connection.error = null;
+          // undici takes a reset that it reads by itself for the end, too.
+          socket.prependListener("error", (reset) => {
+            connection.error ??= reset;
+          });
           socket.prependListener("end", () => {
-            connection.error = errorAtEnd(socket);
+            connection.error ??= errorAtEnd(socket);
           });
           callback(null, socket);
         });
--- a/tests/side_process/backend_client_test.ts
+++ b/tests/side_process/backend_client_test.ts
@@ -61,6 +61,15 @@
     assert.equal(await call(), null);
 });
 
+test("an unframed response that is reset after its last bytes is broken", async () => {
+  await start(({ socket }) => {
+    socket.write("HTTP/1.1 200 OK\r\n\r\npart");
+    setTimeout(() => socket.resetAndDestroy(), 20);
+  });
+  for (let repeat = 0; repeat < REPEATS; repeat += 1)
+    assert.equal(await call(), null);
+});
+
 test("an unframed response that ends with its connection is whole", async () => {
   await start(({ socket }) => {
     socket.end("HTTP/1.1 200 OK\r\n\r\nwhole");
