direct: don't use a connection again that still sends a body

Callers: after a server had answered a long upload before it had read it, the next request on that connection got 502, "write EFAULT", though no server had seen it.

Cause: the memory of a body is freed with its request (src/router/upload.ts), while the socket still sent from it; the connection went back to the pool.

Change: a connection is usable only once its request was sent; one that isn't is closed with its complete response, of which the server reads no other bytes.

--- a/src/direct/backend_connection.ts
+++ b/src/direct/backend_connection.ts
@@ -104,7 +104,10 @@
   /** Whether it can carry another request. */
   get usable(): boolean {
     const isOpen = !this.#closed && !this.#socket.destroyed;
-    return isOpen && this.#socket.writable && !this.#isRetired;
+    // A server may answer before it has read the body, whose memory is freed
+    // with its request.
+    const isSent = this.#socket.writableLength === 0;
+    return isOpen && isSent && this.#socket.writable && !this.#isRetired;
   }
 
   /** Whether it has carried no request before the one that was sent last. */
