--- a/src/direct/relay.ts
+++ b/src/direct/relay.ts
@@ -4,6 +4,7 @@
 import { HeldBuffer } from "../common/held_buffer.ts";
 import type { HeldBytes } from "../common/held_bytes.ts";
 import { isInformational, isValidStatus } from "../common/http_status.ts";
+import { isReadableCoding } from "../common/transfer_coding.ts";
 import type {
   BackendConnection,
   BackendRequest,
@@ -239,6 +240,8 @@
     if (headers["content-encoding"] !== undefined) {
       return "The answer is encoded though nobody asked for it";
     }
+    if (!isReadableCoding(headers["transfer-encoding"]))
+      return "The answer has a transfer coding that nobody asked for";
     return null;
   }
 
--- a/src/side_process/backend_client.ts
+++ b/src/side_process/backend_client.ts
@@ -5,6 +5,7 @@
 import { messageOf } from "../common/error_message.ts";
 import { HOP_BY_HOP_HEADERS } from "../common/hop_by_hop_headers.ts";
 import { isValidStatus } from "../common/http_status.ts";
+import { isReadableCoding } from "../common/transfer_coding.ts";
 import type { BackendServer } from "../configuration/mod.ts";
 import type { Header, RunRequest } from "../protocol/mod.ts";
 import { createServerPool } from "./server_client.ts";
@@ -150,8 +151,8 @@
         ...options,
         dispatcher: this.#pool,
       });
-      if (!isValidStatus(response.statusCode)) {
-        const sentence = `Status ${response.statusCode} is invalid`;
+      const sentence = rejectionReason(response);
+      if (sentence !== null) {
         response.body.on("error", () => undefined).destroy();
         return err({ type: "broken", sentence });
       }
@@ -175,6 +176,17 @@
   sentence: "Backend server refused the connection and has lost the request",
 };
 
+/** Why a response is invalid; null if it is valid. */
+function rejectionReason({
+  statusCode,
+  headers,
+}: Pick<Dispatcher.ResponseData, "statusCode" | "headers">): string | null {
+  if (!isValidStatus(statusCode)) return `Status ${statusCode} is invalid`;
+  return isReadableCoding(headers["transfer-encoding"])
+    ? null
+    : "The response has a transfer coding that nobody asked for";
+}
+
 function requestPath(attempt: string): string {
   return `/v1/requests/${encodeURIComponent(attempt)}`;
 }
--- a/tests/direct/early_answer_test.ts
+++ b/tests/direct/early_answer_test.ts
@@ -94,6 +94,7 @@
 /** Header lines of responses that end with their connection. */
 const UNFRAMED = {
   "without a length": "",
+  "with another transfer coding": "Transfer-Encoding: gzip\r\n",
 };
 
 // Guards against a part of a response that looks like the whole.
--- a/tests/side_process/backend_client_test.ts
+++ b/tests/side_process/backend_client_test.ts
@@ -87,6 +87,14 @@
     assert.equal(await call(), "whole");
 });
 
+test("a response with a transfer coding besides chunks is broken", async () => {
+  await start(({ socket }) => {
+    socket.end("HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\npart");
+  });
+  for (let repeat = 0; repeat < REPEATS; repeat += 1)
+    assert.equal(await call(), null);
+});
+
 for (const status of ["000", "099", "600", "999"])
   test(`a response whose status is ${status} is broken`, async () => {
     await start(({ socket }) => {
