router, side_process: join small pieces of a response

A response may have 256 KB unacknowledged, which in one-byte pieces were 262,144 objects at the side process and as many at the router, some 50 MB each for one response.

Change: pieces are joined up to 1 KB where they are kept: ResponseBuffer, and the events of an Attempt that its caller hasn't taken yet.

--- a/src/common/queue.ts
+++ b/src/common/queue.ts
@@ -18,6 +18,18 @@
     this.#wake();
   }
 
+  /**
+   * Adds a value, or what it makes of the last one that isn't consumed.
+   *
+   * @param join returns both in one; null if they stay apart
+   */
+  pushJoined(value: T, join: (last: T, value: T) => T | null): void {
+    const last = this.#values.at(-1);
+    const joined = last === undefined ? null : join(last, value);
+    if (joined === null) this.push(value);
+    else this.#values.splice(-1, 1, joined);
+  }
+
   /** Ends the iteration once the values already added are consumed. */
   close(): void {
     this.#closed = true;
--- a/src/router/attempt.ts
+++ b/src/router/attempt.ts
@@ -1,6 +1,7 @@
 /** One attempt of one request, as the router sees it. */
 
 import { AsyncQueue } from "../common/queue.ts";
+import { joinSmall } from "../common/small_pieces.ts";
 import type { Message, RunRequest } from "../protocol/mod.ts";
 import type { ResponseEvent } from "./response_event.ts";
 
@@ -79,12 +80,10 @@
     const startOffset = this.#receivedOffset;
     this.#receivedOffset += newBytes.length;
     const { attempt } = this.run;
-    this.#events.push({
-      type: "data",
-      attempt,
-      offset: startOffset,
-      bytes: newBytes,
-    });
+    this.#events.pushJoined(
+      { type: "data", attempt, offset: startOffset, bytes: newBytes },
+      joinData,
+    );
   }
 
   #finish(event: ResponseEvent): void {
@@ -93,3 +92,12 @@
     this.#events.close();
   }
 }
+
+function joinData(
+  last: ResponseEvent,
+  next: ResponseEvent,
+): ResponseEvent | null {
+  if (last.type !== "data" || next.type !== "data") return null;
+  const bytes = joinSmall(last.bytes as Buffer, next.bytes as Buffer);
+  return bytes === null ? null : { ...last, bytes };
+}
--- a/src/side_process/response_buffer.ts
+++ b/src/side_process/response_buffer.ts
@@ -1,5 +1,7 @@
 /** Buffers the part of a response that the caller has not acknowledged. */
 
+import { ByteBuffer } from "../common/byte_buffer.ts";
+import { joinSmall } from "../common/small_pieces.ts";
 import type { Header } from "../protocol/mod.ts";
 
 /** Unacknowledged bytes above which the server's response is not read on. */
@@ -23,7 +25,7 @@
   head: ResponseHead | null = null;
   #chunks: Chunk[] = [];
   #retainLimitBytes = 0;
-  #retained: Buffer[] = [];
+  #retained: ByteBuffer | null = null;
   #endOffset = 0;
   /** Offset up to which the caller has acknowledged the response. */
   #acknowledged = 0;
@@ -51,20 +53,21 @@
    */
   retainUpTo(limitBytes: number): void {
     this.#retainLimitBytes = limitBytes;
+    this.#retained = new ByteBuffer(limitBytes);
   }
 
   /** The whole body; null if it is longer than the limit of `retainUpTo`. */
   get retainedBody(): Buffer | null {
     if (this.#endOffset > this.#retainLimitBytes) return null;
-    return Buffer.concat(this.#retained);
+    return Buffer.from(this.#retained?.bytes ?? []);
   }
 
   /** Appends bytes and returns them as a chunk. */
   append(bytes: Buffer): Chunk {
     const chunk = { offset: this.#endOffset, bytes };
-    this.#chunks.push(chunk);
+    this.#keep(chunk);
     if (chunk.offset + bytes.length <= this.#retainLimitBytes)
-      this.#retained.push(bytes);
+      this.#retained?.append(bytes);
     this.#endOffset += bytes.length;
     return chunk;
   }
@@ -111,6 +114,13 @@
     this.acknowledge(Number.MAX_SAFE_INTEGER);
   }
 
+  #keep(chunk: Chunk): void {
+    const last = this.#chunks.at(-1);
+    const joined = last && joinSmall(last.bytes, chunk.bytes);
+    if (last === undefined || joined == null) this.#chunks.push(chunk);
+    else this.#chunks.splice(-1, 1, { offset: last.offset, bytes: joined });
+  }
+
   #resolveRoomWaiters(): void {
     const waiters = this.#roomWaiters;
     this.#roomWaiters = [];
--- a/tests/side_process/response_buffer_test.ts
+++ b/tests/side_process/response_buffer_test.ts
@@ -6,6 +6,8 @@
 import { ResponseBuffer } from "../../src/side_process/response_buffer.ts";
 
 const SEED = 4714;
+/** As many one-byte pieces as may wait for their acknowledgement. */
+const SMALL_PIECES = 256 * 1024;
 
 test("returns the bytes after any offset, once and in order", () => {
   fc.assert(
@@ -42,3 +44,17 @@
   buffer.acknowledge(4);
   assert.equal(buffer.from(2), null);
 });
+
+// Guards against a bound of bytes whose pieces, an object each, take far more.
+test("small pieces are joined", () => {
+  const buffer = new ResponseBuffer();
+  buffer.retainUpTo(SMALL_PIECES);
+  for (let piece = 0; piece < SMALL_PIECES; piece += 1)
+    buffer.append(Buffer.from([piece % 256]));
+  const chunks = buffer.from(0) ?? [];
+  const kept = Buffer.concat(chunks.map(({ bytes }) => bytes));
+  assert.ok(kept.every((byte, at) => byte === at % 256));
+  assert.equal(kept.length, SMALL_PIECES);
+  assert.ok(chunks.length <= SMALL_PIECES / 512, `${chunks.length} chunks`);
+  assert.deepEqual(buffer.retainedBody, kept);
+});
