direct: give the HTTP client no more lines at once than a head may have

Heads of one repeated name were counted as one line.

Cause: the check came after the parsing, and fields were counted by names.

--- a/src/direct/backend_socket.ts
+++ b/src/direct/backend_socket.ts
@@ -28,13 +28,18 @@
 
   /**
    * The HTTP client parses what it gets and reads again until nothing is left, so
-   * a part of a body in an earlier read has been reported by now.
+   * a part of a body in an earlier read has been reported by now. It gets no more
+   * lines at once than a head may have: the objects that it makes of them are
+   * freed only once the event loop has handled all other connections.
    */
   override read(size?: number): Buffer | null {
     this.#check();
     const bytes: Buffer | null = super.read(size);
-    if (bytes !== null) this.#lines += countLines(bytes);
-    return bytes;
+    if (bytes === null) return null;
+    const { lines, end } = takeLines(bytes, HEAD_LIMIT_LINES);
+    this.#lines += lines;
+    if (end < bytes.length) this.unshift(bytes.subarray(end));
+    return bytes.subarray(0, end);
   }
 
   /** Bytes that the HTTP client has taken. */
@@ -55,12 +60,17 @@
   }
 }
 
-function countLines(bytes: Buffer): number {
+/** Counts lines up to a limit, and finds where the last of them ends. */
+function takeLines(
+  bytes: Buffer,
+  limit: number,
+): { readonly lines: number; readonly end: number } {
   let lines = 0;
   let at = bytes.indexOf(LINE_FEED);
   while (at !== -1) {
     lines += 1;
+    if (lines === limit) return { lines, end: at + 1 };
     at = bytes.indexOf(LINE_FEED, at + 1);
   }
-  return lines;
+  return { lines, end: bytes.length };
 }
--- a/src/direct/relay.ts
+++ b/src/direct/relay.ts
@@ -233,7 +233,7 @@
     } else if (terms.requestId !== requestId) {
       return "The server answered another request";
     }
-    if (Object.keys(headers).length > HEAD_LIMIT_LINES)
+    if (countLines(headers) > HEAD_LIMIT_LINES)
       return `The head has over ${HEAD_LIMIT_LINES} lines`;
     if (terms.notRun) return null;
     if (!terms.authentic) return `Status ${status} is not a server's own`;
@@ -443,6 +443,10 @@
   }
 }
 
+function countLines(headers: ResponseHeaders): number {
+  return Object.values(headers).flat().length;
+}
+
 function reasonOf(failure: StreamFailure): string {
   switch (failure) {
     case "event-too-long":
--- a/tests/on_platform/held_responses_test.ts
+++ b/tests/on_platform/held_responses_test.ts
@@ -253,18 +253,21 @@
 const MANY_LINES = Array.from({ length: 2_600 }, (_, index) => index)
   .map((index) => `${index.toString(36)}:\r\n`)
   .join("");
+/** In one read with the start of a body. */
+const LINES_OF_ONE_NAME = "a:b\r\n".repeat(7_800);
 
 // Guards against heads within their limit of bytes whose lines, an object each,
 // take far more.
-for (const [kind, rest] of [
-  ["that don't end", ""],
-  ["before a body that doesn't end", `${CHUNKED}\r\n${chunkOf("x")}`],
+for (const [kind, lines, rest] of [
+  ["that don't end", MANY_LINES, ""],
+  ["before a body", MANY_LINES, `${CHUNKED}\r\n${chunkOf("x")}`],
+  ["of one name", LINES_OF_ONE_NAME, `${CHUNKED}\r\n${chunkOf("x")}`],
 ] as const)
   test(`heads of many lines ${kind}`, () =>
     withstand({
       ...{ route: "stream", callers: MANY_CALLERS },
       script: (request) => {
-        const head = responseHead(request, MANY_LINES).slice(0, -2);
+        const head = responseHead(request, lines).slice(0, -2);
         request.socket.write(`${head}${rest}`);
       },
     }));
