common: parse short JSON without counting its values

Cause: parseBoundedJson looked at each character of each response of the store, configurations of hundreds of kilobytes among them, on routers and controllers.

Change: a text shorter than the limit of values can't hold more, and isn't scanned. The result is the same for every text.

Measured: tests/common, direct, side_process and transport, 433 of 433; the time saved wasn't measured.

--- a/src/common/bounded_json.ts
+++ b/src/common/bounded_json.ts
@@ -33,6 +33,8 @@
 
 /** Marks within strings count, too: this bounds the values from above. */
 function isWithin(text: string, values: number): boolean {
+  // Even if it consisted of marks; as good as all texts are this short.
+  if (text.length < values) return true;
   let marks = 1;
   for (let at = 0; at < text.length && marks <= values; at += 1)
     if (VALUE_MARKS.has(text.charCodeAt(at))) marks += 1;
