common: watch the end of a connection in one place

Change: watchEnd in connection_end.ts has both listeners; both clients call it. The first error counts in both; BackendConnection kept the last one, which differs in the reason that is logged only.

--- a/src/common/connection_end.ts
+++ b/src/common/connection_end.ts
@@ -23,3 +23,25 @@
   const error: NodeJS.ErrnoException | null = socket.errored;
   return error?.code === RESET_AFTER_FIN ? null : error;
 }
+
+/** Whether a connection was ended by an error so far. */
+export interface ConnectionEnd {
+  /** Null while it is open, and after the peer's FIN. */
+  readonly error: Error | null;
+}
+
+/**
+ * Records the error that ends a connection. Call it before an HTTP client gets
+ * the socket: undici takes some resets for the end of a response, whether it reads
+ * them by themselves, which is an error event, or together with data.
+ */
+export function watchEnd(socket: Socket): ConnectionEnd {
+  const end: { error: Error | null } = { error: null };
+  socket.prependListener("error", (error) => {
+    end.error ??= error;
+  });
+  socket.prependListener("end", () => {
+    end.error ??= errorAtEnd(socket);
+  });
+  return end;
+}
--- a/src/direct/backend_connection.ts
+++ b/src/direct/backend_connection.ts
@@ -2,7 +2,7 @@
 
 import { err, ok, type Result } from "neverthrow";
 import { type buildConnector, Client, type Dispatcher } from "undici";
-import { errorAtEnd } from "../common/connection_end.ts";
+import { type ConnectionEnd, watchEnd } from "../common/connection_end.ts";
 import type { BackendServer } from "../directory/mod.ts";
 import { BackendSocket } from "./backend_socket.ts";
 
@@ -36,19 +36,14 @@
 export class BackendConnection {
   readonly #client: Client;
   readonly #socket: BackendSocket;
-  #error: Error | null = null;
+  readonly #end: ConnectionEnd;
   #closed = false;
   #sentRequests = 0;
   #isRetired = false;
 
   private constructor(origin: string, socket: BackendSocket) {
     this.#socket = socket;
-    socket.on("error", (error) => {
-      this.#error = error;
-    });
-    socket.prependListener("end", () => {
-      this.#error ??= errorAtEnd(socket);
-    });
+    this.#end = watchEnd(socket);
     let isSocketTaken = false;
     const provideSocket = (callback: buildConnector.Callback) => {
       if (isSocketTaken) callback(new Error("Connection has ended"), null);
@@ -117,7 +112,7 @@
 
   /** The socket's error, a reset too; null if there was none. */
   get error(): Error | null {
-    return this.#error;
+    return this.#end.error;
   }
 
   /** Makes it carry no further request. */
--- a/src/side_process/server_client.ts
+++ b/src/side_process/server_client.ts
@@ -7,7 +7,7 @@
   type Dispatcher,
   Pool,
 } from "undici";
-import { errorAtEnd } from "../common/connection_end.ts";
+import { type ConnectionEnd, watchEnd } from "../common/connection_end.ts";
 
 /** Options of a pool of clients. */
 export interface ServerPoolOptions {
@@ -32,21 +32,20 @@
   });
 }
 
-/** State of the connection that a client has now. */
-interface ConnectionState {
-  /** Why it has ended; null while it is open, and after the peer's FIN. */
-  error: Error | null;
+/** The end of the connection that a client has now. */
+interface CurrentEnd {
+  current: ConnectionEnd;
 }
 
 class ServerClient extends Client {
-  readonly #connection: ConnectionState;
+  readonly #end: CurrentEnd;
 
   constructor(
     origin: URL,
     options: Client.Options,
     connect: buildConnector.connector,
   ) {
-    const connection: ConnectionState = { error: null };
+    const end: CurrentEnd = { current: { error: null } };
     super(origin, {
       ...options,
       connect: (target, callback) => {
@@ -55,33 +54,26 @@
             callback(error, null);
             return;
           }
-          connection.error = null;
-          // undici takes a reset that it reads by itself for the end, too.
-          socket.prependListener("error", (reset) => {
-            connection.error ??= reset;
-          });
-          socket.prependListener("end", () => {
-            connection.error ??= errorAtEnd(socket);
-          });
+          end.current = watchEnd(socket);
           callback(null, socket);
         });
       },
     });
-    this.#connection = connection;
+    this.#end = end;
   }
 
   override dispatch(
     options: Dispatcher.DispatchOptions,
     handler: Dispatcher.DispatchHandler,
   ): boolean {
-    return super.dispatch(options, checkEnd(handler, this.#connection));
+    return super.dispatch(options, checkEnd(handler, this.#end));
   }
 }
 
 /** Returns a handler that fails where a connection ends by an error. */
 function checkEnd(
   inner: Dispatcher.DispatchHandler,
-  connection: ConnectionState,
+  end: CurrentEnd,
 ): Dispatcher.DispatchHandler {
   // A pool passes handlers on in undici's older form; this has the newer one.
   const handler: Dispatcher.DispatchHandler = new DecoratorHandler(inner);
@@ -92,7 +84,7 @@
     onResponseData: (...args) => handler.onResponseData?.(...args),
     onResponseError: (...args) => handler.onResponseError?.(...args),
     onResponseEnd: (controller, trailers) => {
-      const { error } = connection;
+      const { error } = end.current;
       if (error === null) handler.onResponseEnd?.(controller, trailers);
       else handler.onResponseError?.(controller, error);
     },
