direct: give a relay the buffer of partial events only where it splits them

Cause: each relay made a second HeldBuffer, also for tickets and streams that can't be resumed, and EventSplitter kept a failure of its own beside the one that its tracker can tell.

Change: the buffer is made with the splitter, which frees it; an event that is too long is told by the tracker alone. Behaviour is the same.

--- a/src/common/held_buffer.ts
+++ b/src/common/held_buffer.ts
@@ -6,6 +6,7 @@
 
 /** Buffers up to this size aren't counted: most are short, and soon empty. */
 const UNCOUNTED_BYTES = 4 * 1_024;
+const NO_BYTES = Buffer.alloc(0);
 
 /** Whose bytes they are, and how many there may be. */
 export interface HeldBufferOptions extends HoldingOptions {
@@ -52,7 +53,7 @@
   }
 
   /** Returns what is kept, followed by further bytes, and keeps nothing. */
-  take(further: Buffer = Buffer.alloc(0)): Buffer {
+  take(further: Buffer = NO_BYTES): Buffer {
     if (this.sizeBytes === 0) return further;
     const bytes = Buffer.concat([this.#buffer.bytes, further]);
     this.free();
--- a/src/direct/event_splitter.ts
+++ b/src/direct/event_splitter.ts
@@ -78,9 +78,9 @@
 export class EventSplitter {
   readonly #tracker = new EventTracker();
   readonly #partial: HeldBuffer;
-  #failure: StreamFailure | null = null;
+  #lacksMemory = false;
 
-  /** @param partial buffer for `EVENT_LIMIT_BYTES`, which its creator frees */
+  /** @param partial empty buffer for `EVENT_LIMIT_BYTES` */
   constructor(partial: HeldBuffer) {
     this.#partial = partial;
   }
@@ -92,7 +92,7 @@
 
   /** Why the stream can't be read on; null if it can. */
   get failure(): StreamFailure | null {
-    return this.#failure;
+    return this.#lacksMemory ? "no-memory" : this.#tracker.failure;
   }
 
   /** Adds bytes; returns the events that are complete now. */
@@ -100,24 +100,17 @@
     const end = this.#tracker.endOfLastEvent(bytes);
     const complete =
       end === 0 ? NO_BYTES : this.#partial.take(bytes.subarray(0, end));
-    if (end < bytes.length) this.#keep(bytes.subarray(end));
+    if (end < bytes.length) {
+      // The tracker reports an event that is over the limit.
+      const appended = this.#partial.append(bytes.subarray(end));
+      this.#lacksMemory = appended === "no-memory";
+    }
     return { bytes: complete, lastId: lastIdIn(complete) };
   }
 
-  #keep(bytes: Buffer): void {
-    const appended = this.#partial.append(bytes);
-    switch (appended) {
-      case "kept":
-        return;
-      case "over-limit":
-        this.#failure = "event-too-long";
-        return;
-      case "no-memory":
-        this.#failure = "no-memory";
-        return;
-      default:
-        appended satisfies never;
-    }
+  /** Frees the partial event. */
+  free(): void {
+    this.#partial.free();
   }
 }
 
--- a/src/direct/relay.ts
+++ b/src/direct/relay.ts
@@ -102,7 +102,6 @@
   #isBuffered = false;
   /** Bytes that wait to be forwarded. */
   readonly #waiting: HeldBuffer;
-  readonly #partialEvent: HeldBuffer;
   /** Null if the response isn't a resumable event stream. */
   #splitter: EventSplitter | null = null;
   #discardedBytes = 0;
@@ -119,7 +118,6 @@
     this.#connection = connection;
     this.#options = options;
     this.#waiting = this.#createBuffer(TURN_LIMIT_BYTES);
-    this.#partialEvent = this.#createBuffer(EVENT_LIMIT_BYTES);
   }
 
   /** Sends the request; resolves with the result and never rejects. */
@@ -207,8 +205,10 @@
     this.#noteActivity();
     const { streaming, progress } = this.#options;
     if (streaming && isEventStream(status, headers)) {
-      if (progress !== null)
-        this.#splitter = new EventSplitter(this.#partialEvent);
+      if (progress !== null) {
+        const partialEvent = this.#createBuffer(EVENT_LIMIT_BYTES);
+        this.#splitter = new EventSplitter(partialEvent);
+      }
       this.#events = this.#splitter ?? new EventTracker();
     }
     if (!streaming) this.#isBuffered = true;
@@ -430,7 +430,7 @@
     if (this.#hasEnded) return;
     this.#hasEnded = true;
     this.#waiting.free();
-    this.#partialEvent.free();
+    this.#splitter?.free();
     this.#resolve(result);
   }
 
