--- a/src/direct/memory_budget.ts
+++ b/src/direct/memory_budget.ts
@@ -1,4 +1,4 @@
-/** The memory that a router has for what callers send and don't read. */
+/** The memory that a router has for what callers and servers make it hold. */
 
 import type { Clock } from "../common/clock.ts";
 import type { EventLog } from "../common/event_log.ts";
--- a/src/direct/relay.ts
+++ b/src/direct/relay.ts
@@ -3,13 +3,11 @@
 import type { Dispatcher } from "undici";
 import { HeldBuffer } from "../common/held_buffer.ts";
 import type { HeldBytes } from "../common/held_bytes.ts";
-import { isInformational, isValidStatus } from "../common/http_status.ts";
-import { isReadableCoding } from "../common/transfer_coding.ts";
+import { isInformational } from "../common/http_status.ts";
 import type {
   BackendConnection,
   BackendRequest,
 } from "./backend_connection.ts";
-import { HEAD_LIMIT_LINES } from "./backend_socket.ts";
 import { type CallerResponse, framingOf } from "./caller_response.ts";
 import type { Dialect, ResponseHeaders, ResponseTerms } from "./dialect.ts";
 import {
@@ -21,6 +19,7 @@
   type StreamFailure,
   type StreamProgress,
 } from "./event_splitter.ts";
+import { rejectionReason } from "./response_check.ts";
 
 /**
  * Longest response that is buffered until it is complete; until then a failed
@@ -186,7 +185,13 @@
     if (isInformational(status) || this.#hasEnded) return;
     const { dialect } = this.#options;
     const terms = dialect.readResponse(status, headers);
-    const rejection = this.#rejectionReason(status, headers, terms);
+    const rejection = rejectionReason(
+      { status, headers, terms },
+      {
+        requestId: this.#options.requestId,
+        isFirstUse: this.#connection.isFirstUse,
+      },
+    );
     if (rejection !== null) {
       this.#break(rejection);
       return;
@@ -218,33 +223,6 @@
       this.#startResponse();
   }
 
-  /** Why a response is invalid; null if it is valid. Logged as `reason`. */
-  #rejectionReason(
-    status: number,
-    headers: ResponseHeaders,
-    terms: ResponseTerms,
-  ): string | null {
-    const { requestId } = this.#options;
-    if (!isValidStatus(status)) return `Status ${status} is invalid`;
-    if (terms.requestId === null) {
-      // It may be a copy of the response to an earlier request.
-      if (!this.#connection.isFirstUse)
-        return "The response on a reused connection names no request";
-    } else if (terms.requestId !== requestId) {
-      return "The server answered another request";
-    }
-    if (countLines(headers) > HEAD_LIMIT_LINES)
-      return `The head has over ${HEAD_LIMIT_LINES} lines`;
-    if (terms.notRun) return null;
-    if (!terms.authentic) return `Status ${status} is not a server's own`;
-    if (headers["content-encoding"] !== undefined) {
-      return "The answer is encoded though nobody asked for it";
-    }
-    if (!isReadableCoding(headers["transfer-encoding"]))
-      return "The answer has a transfer coding that nobody asked for";
-    return null;
-  }
-
   #dispositionOf(status: number, { notRun }: ResponseTerms): Disposition {
     if (notRun) return "not-run";
     const failed = status >= 500 && this.#options.withholdsFailures;
@@ -443,10 +421,6 @@
   }
 }
 
-function countLines(headers: ResponseHeaders): number {
-  return Object.values(headers).flat().length;
-}
-
 function reasonOf(failure: StreamFailure): string {
   switch (failure) {
     case "event-too-long":
