common: join pieces and what is known of them in one function

Cause: ResponseBuffer and Attempt each put the joined bytes back into their piece.

Change: joinSmall takes and returns pieces. Behaviour is the same.

--- a/src/common/small_pieces.ts
+++ b/src/common/small_pieces.ts
@@ -3,8 +3,20 @@
 /** Size up to which pieces are joined; beyond it, copying costs more. */
 const JOINED_LIMIT_BYTES = 1_024;
 
-/** Returns both pieces in one; null if they are large enough to stay apart. */
-export function joinSmall(last: Buffer, next: Buffer): Buffer | null {
-  const sizeBytes = last.length + next.length;
-  return sizeBytes > JOINED_LIMIT_BYTES ? null : Buffer.concat([last, next]);
+/** Some bytes of a body, with what else is known of them. */
+export interface Piece {
+  readonly bytes: Uint8Array;
+}
+
+/**
+ * Returns the first piece with the bytes of both; null if they are large enough
+ * to stay apart.
+ */
+export function joinSmall<T extends Piece>(
+  last: T,
+  next: Piece,
+): (T & { readonly bytes: Buffer }) | null {
+  const sizeBytes = last.bytes.length + next.bytes.length;
+  if (sizeBytes > JOINED_LIMIT_BYTES) return null;
+  return { ...last, bytes: Buffer.concat([last.bytes, next.bytes]) };
 }
--- a/src/router/attempt.ts
+++ b/src/router/attempt.ts
@@ -97,7 +97,6 @@
   last: ResponseEvent,
   next: ResponseEvent,
 ): ResponseEvent | null {
-  if (last.type !== "data" || next.type !== "data") return null;
-  const bytes = joinSmall(last.bytes as Buffer, next.bytes as Buffer);
-  return bytes === null ? null : { ...last, bytes };
+  const areData = last.type === "data" && next.type === "data";
+  return areData ? joinSmall(last, next) : null;
 }
--- a/src/side_process/response_buffer.ts
+++ b/src/side_process/response_buffer.ts
@@ -116,9 +116,9 @@
 
   #keep(chunk: Chunk): void {
     const last = this.#chunks.at(-1);
-    const joined = last && joinSmall(last.bytes, chunk.bytes);
-    if (last === undefined || joined == null) this.#chunks.push(chunk);
-    else this.#chunks.splice(-1, 1, { offset: last.offset, bytes: joined });
+    const joined = last === undefined ? null : joinSmall(last, chunk);
+    if (joined === null) this.#chunks.push(chunk);
+    else this.#chunks.splice(-1, 1, joined);
   }
 
   #resolveRoomWaiters(): void {
