tests: the progress of a stream counts the events of all its servers

Cause: took the progress out of the splitter, and with it a unit test's assertion that a second splitter moves the same progress on.

Change: a stream that breaks off at two servers in turn goes on after events 2 and 4 at the third.

--- a/tests/direct/partial_event_test.ts
+++ b/tests/direct/partial_event_test.ts
@@ -136,20 +136,30 @@
 
 async function start(where: string, maxAttempts: number): Promise<void> {
   const ending = endings[where] ?? assert.fail(where);
+  const beginning: Script = (request) => void ending(request, REST);
+  const options = where === NO_MEMORY ? { memoryMb: MEMORY_MB } : {};
+  await startServers([beginning, goOn], { maxAttempts, ...options });
+}
+
+/** Starts servers that answer the requests in turn; the last one those that follow. */
+async function startServers(
+  answers: readonly Script[],
+  {
+    maxAttempts,
+    ...options
+  }: { readonly maxAttempts: number; readonly memoryMb?: number },
+): Promise<void> {
   let received = 0;
   const script: Script = (request) => {
+    answers[Math.min(received, answers.length - 1)]?.(request);
     received += 1;
-    if (received > 1) goOn(request);
-    else void ending(request, REST);
   };
   const route = createRoute({
     ...{ streaming: true, repetition: "resumable", maxAttempts },
   });
   const configuration = createConfiguration({ routes: [route] });
-  fixture = await createRouterFixture({
-    ...{ configuration, scripts: [script, script] },
-    ...(where === NO_MEMORY ? { memoryMb: MEMORY_MB } : {}),
-  });
+  const scripts = answers.map(() => script);
+  fixture = await createRouterFixture({ configuration, scripts, ...options });
 }
 
 /** Ids of the events that a caller gets, and whether its stream has ended. */
@@ -190,3 +200,20 @@
     assert.deepEqual([...first.ids, ...rest.ids], IDS);
   });
 }
+
+// Guards against progress that counts the events of one server only.
+test("a stream that stops at two servers in turn goes on without a gap", async () => {
+  const sendTwoAndBreak = async (request: ReceivedRequest) => {
+    const after = Number(request.headers["last-event-id"] ?? 0);
+    startStream(request, eventsOf(IDS.slice(after, after + 2)));
+    await delay(PAUSE_MS);
+    request.socket.resetAndDestroy();
+  };
+  await startServers([sendTwoAndBreak, sendTwoAndBreak, goOn], {
+    maxAttempts: 3,
+  });
+  assert.deepEqual(await call(), { ids: IDS, isEnded: true });
+  const resumed = fixture.servers.flatMap(({ requests }) => requests);
+  const lastIds = resumed.map(({ headers }) => headers["last-event-id"]);
+  assert.deepEqual(lastIds.sort(), ["2", "4", undefined]);
+});
