--- a/review/12/case.mjs
+++ b/review/12/case.mjs
@@ -1,6 +1,5 @@
-/** A consumer's prompts have many short parts; ordinary consumers call beside it. */
+/** One part of long prompts crashes each replica that begins to answer on it. */
 
-import { readFileSync } from "node:fs";
 import {
   Channel,
   configurationOf,
@@ -12,132 +11,131 @@
   TROUBLE,
 } from "../harness-3.mjs";
 
-/** Requests of the one consumer: 40 a second, of 75 that the sheet states. */
-const REQUESTS = 2_000;
-const CHANNELS = 4;
-const INTERVAL_MS = 25 * CHANNELS;
-/** Tokens of each prompt, in parts of two with the disruption, else in four. */
-const PROMPT_TOKENS = 2_000;
-const PARTS = TROUBLE ? 1_000 : 4;
-const ENGINES = 6;
-/** Ordinary consumers on kept channels, and how long their requests take. */
-const ORDINARY = 8;
-const WORK_MS = 1_000;
-const ENDS_AFTER_MS = 80_000;
+/**
+ * Shared parts of each prompt; the crashing one is the last of them. The variable
+ * is for a comparison: with 20 parts the rule holds.
+ */
+const SHARED_PARTS = Number(process.env.SHARED_PARTS ?? 160);
+const REPLICAS = 4;
+const BACK_AFTER_MS = 2_000;
+const STABLE_WINDOW_MS = 3_000;
+const DEADLY_INTERVAL_MS = 700;
+const SOUND_INTERVAL_MS = 150;
+const LASTS_MS = 30_000;
+const CRASHING_PART = "dead0001";
+const EVENTS = 8;
 
-const residentMb = ({ child }) => {
-  try {
-    const status = readFileSync(`/proc/${child.pid}/status`, "utf8");
-    return Math.round(Number(/VmRSS:\s+(\d+)/.exec(status)[1]) / 1_024);
-  } catch {
-    return null;
-  }
-};
-
-function answerStream(request) {
-  const event = "id: 1\ndata: fine\n\n";
-  request.socket.write(
-    `HTTP/1.1 200 OK\r\n${sealOf(request)}Content-Type: text/event-stream\r\n` +
-      `Content-Length: ${event.length}\r\n\r\n${event}`,
-  );
-}
-
-async function answerTicket(request) {
-  await sleep(WORK_MS);
-  request.socket.write(
-    `HTTP/1.1 200 OK\r\n${sealOf(request)}Content-Length: 4\r\n\r\nfine`,
-  );
-}
+const eventOf = (number) => `id: ${number}\ndata: word ${number}\n\n`;
 
 await run(import.meta.url, async (deployment) => {
+  const crashes = [];
+  const deadly = [];
+  let cutOff = 0;
+  const answer = async (request, replica) => {
+    const { socket, headers } = request;
+    if (headers["x-prefix-hash"].includes(CRASHING_PART)) {
+      const atMs = performance.now();
+      deadly.push({ id: headers["x-attempt-id"], atMs });
+      crashes.push(atMs);
+      record(
+        `replica ${replica.id} runs ${headers["x-attempt-id"]} and crashes ` +
+          `(crash ${crashes.length}), ${replica.sockets.size} channels are reset`,
+      );
+      replica.crash();
+      await sleep(BACK_AFTER_MS);
+      await replica.comeBack();
+      deployment.announce(replica);
+      return;
+    }
+    socket.write(
+      `HTTP/1.1 200 OK\r\n${sealOf(request)}` +
+        "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
+    );
+    for (let number = 1; number <= EVENTS; number += 1) {
+      if (socket.destroyed) return;
+      const event = eventOf(number);
+      socket.write(`${event.length.toString(16)}\r\n${event}\r\n`);
+      await sleep(50);
+    }
+    socket.write("0\r\n\r\n");
+  };
   await deployment.start(
-    configurationOf([
-      { name: "house-rules", pathPrefix: "/rules/" },
-      {
-        ...{ name: "repair-ticket", pathPrefix: "/ticket/" },
-        ...{ kind: "non_idempotent", service: "desk-app" },
-      },
-    ]),
+    configurationOf([{ name: "house-rules", pathPrefix: "/rules/" }]),
   );
-  const quiet = { isQuiet: true };
-  for (let number = 1; number <= ENGINES; number += 1) {
-    const id = `i-${number}`;
-    const replica = await deployment.addReplica(id, answerStream, {}, quiet);
+  for (let count = 1; count <= REPLICAS; count += 1) {
+    const quiet = { isQuiet: true };
+    const replica = await deployment.addReplica(
+      `i-${count}`,
+      answer,
+      {},
+      quiet,
+    );
     await deployment.startAdmission(replica);
   }
-  const entry = { service: "desk-app", slots: 32 };
-  const desk = await deployment.addReplica("i-7", answerTicket, entry);
   const router = await deployment.startRouter();
   await sleep(4_000);
 
-  const endsAtMs = performance.now() + ENDS_AFTER_MS;
-  let isOver = false;
-  let lost = 0;
-  const ordinary = Array.from({ length: ORDINARY }, async (_, at) => {
+  const shared = Array.from(
+    { length: SHARED_PARTS - 1 },
+    (_, at) => `${(0xa000 + at).toString(16)}:20`,
+  );
+  let last = 0;
+  const send = async (kind) => {
+    last += 1;
+    const id = `${kind}-${last}`;
+    const own = `${(0x100000 + last).toString(16)}:50`;
+    const lastShared = kind === "deadly" ? CRASHING_PART : "fee1000d";
+    const parts = [...shared, `${lastShared}:20`, own];
+    const more =
+      `X-Model: m\r\nX-Token-Count: ${SHARED_PARTS * 20 + 50},50\r\n` +
+      `X-Prefix-Hash: ${parts.join(",")}\r\n`;
     const channel = new Channel(router);
-    for (let number = 1; !isOver && channel.state === "open"; number += 1) {
-      const id = `ticket-${at + 1}-${number}`;
-      const answer = await channel.request(headOf({ path: "/ticket/x", id }));
-      const ran = desk.runs.some((one) => one.id === id);
-      const isUnanswered = answer.status === 0;
-      record(
-        `consumer of ${id} has ${answer.status || "no answer"}, ` +
-          `channel ${answer.channel}, passed on: ${ran}`,
-      );
-      // The first request of a channel isn't one of a kept channel.
-      if (isUnanswered && ran && number > 1) lost += 1;
-    }
+    const head = headOf({ path: "/rules/x", id, deadlineMs: 5_000, more });
+    const { status, complete } = await channel.request(head, "", 6_000);
     channel.close();
-  });
-  let sent = 0;
-  const statuses = {};
-  const odd = Array.from({ length: CHANNELS }, async () => {
-    let channel = new Channel(router);
-    while (
-      sent < REQUESTS &&
-      router.exit === null &&
-      performance.now() < endsAtMs
-    ) {
-      const startedAtMs = performance.now();
-      sent += 1;
-      const number = sent;
-      const parts = Array.from({ length: PARTS }, (_, at) => {
-        const id = (number * PARTS + at + 0x100000).toString(16);
-        return `${id}:${PROMPT_TOKENS / PARTS}`;
-      });
-      const more =
-        `X-Model: m\r\nX-Token-Count: ${PROMPT_TOKENS},10\r\n` +
-        `X-Prefix-Hash: ${parts.join(",")}\r\n`;
-      const head = headOf({ path: "/rules/x", id: `rules-${number}`, more });
-      if (number === 1)
-        record(`heads of ${head.length} bytes, ${PARTS} parts each`);
-      const { status, complete, channel: state } = await channel.request(head);
-      statuses[status] = (statuses[status] ?? 0) + 1;
-      if (!complete || state !== "open") {
-        channel.close();
-        channel = new Channel(router);
-      }
-      if (number % 100 === 0)
-        record(
-          `${number} sent, answered ${JSON.stringify(statuses)}; router ${residentMb(router)} MB`,
-        );
-      await sleep(Math.max(0, startedAtMs + INTERVAL_MS - performance.now()));
+    if (kind === "deadly") record(`consumer of ${id} has ${status}`);
+    else if (!complete) {
+      cutOff += 1;
+      record(`consumer of ${id}, a sound request, has ${status}, cut off`);
     }
-    channel.close();
-  });
-  await Promise.all(odd);
-  await sleep(300);
-  isOver = true;
-  await Promise.all(ordinary);
-  record(`sent ${sent}, answered ${JSON.stringify(statuses)}`);
-  if (router.exit === null) return null;
-  record(`the router has ended by itself: ${JSON.stringify(router.exit)}`);
-  for (const line of router.stderr
-    .split("\n")
-    .filter((one) => /FATAL|heap/.test(one)))
-    record(`its standard error: ${line}`);
+    return { kind, status, complete };
+  };
+  const results = [];
+  const waiting = [];
+  const every = async (intervalMs, kind, untilMs) => {
+    while (performance.now() < untilMs) {
+      waiting.push(send(kind).then((result) => results.push(result)));
+      await sleep(intervalMs);
+    }
+  };
+  const startMs = performance.now();
+  const endMs = startMs + LASTS_MS;
+  const sendDeadly = async () => {
+    await sleep(3_000);
+    if (TROUBLE) await every(DEADLY_INTERVAL_MS, "deadly", endMs);
+  };
+  await Promise.all([every(SOUND_INTERVAL_MS, "sound", endMs), sendDeadly()]);
+  await Promise.all(waiting);
+  const fifthMs = crashes[4] ?? Number.POSITIVE_INFINITY;
+  const late = deadly.filter(({ atMs }) => atMs > fifthMs + STABLE_WINDOW_MS);
+  const count = (kind) => {
+    const of = results.filter((one) => one.kind === kind);
+    const tally = {};
+    for (const { status, complete } of of) {
+      const key = `${status}${complete ? "" : " cut off"}`;
+      tally[key] = (tally[key] ?? 0) + 1;
+    }
+    return JSON.stringify(tally);
+  };
+  record(
+    `crashes: ${crashes.length}; requests with the part that reached replicas: ` +
+      `${deadly.length}, ${late.length} of them over ${STABLE_WINDOW_MS} ms after ` +
+      "the fifth crash",
+  );
+  record(`with the part: ${count("deadly")}; sound: ${count("sound")}`);
+  if (late.length <= 3) return null;
   return (
-    `the router ended by itself after ${sent} requests; ${lost} requests of kept ` +
-    "channels were passed on and got no answer"
+    `${late.length} requests with the part reached replicas over ` +
+    `${STABLE_WINDOW_MS} ms after the fifth crash; ${cutOff} sound streams were cut off`
   );
 });
--- a/review/15/run.sh
+++ /dev/null
@@ -1,2 +0,0 @@
-#!/bin/sh
-cd "$(dirname "$0")" && exec node case.mjs
