--- a/review/harness-3.mjs
+++ b/review/harness-3.mjs
@@ -344,6 +344,12 @@
     return program;
   }
 
+  /** Ends all processes at once. */
+  abandon() {
+    for (const child of this.children) child.kill("SIGKILL");
+    rmSync(this.#folder, { recursive: true, force: true });
+  }
+
   async close() {
     for (const child of this.children) child.kill("SIGKILL");
     for (const replica of this.replicas) replica.close();
@@ -544,9 +550,12 @@
     TROUBLE ? "with the disruption" : "without the disruption (TROUBLE=0)",
   );
   const deployment = new Deployment();
+  // Also when the script is ended from outside, no process is left behind.
+  process.on("exit", () => deployment.abandon());
+  for (const signal of ["SIGTERM", "SIGINT"])
+    process.once(signal, () => process.exit(2));
   const limit = setTimeout(() => {
-    record("not run: 110 s are over");
-    for (const child of deployment.children) child.kill("SIGKILL");
+    record("NOT RUN: 110 s are over");
     process.exit(2);
   }, 110_000);
   let code = 2;
