direct, side_process: pause responses at the socket

Callers saw: all connections to a router cut, when a server closed or reset its connection after a response that one caller read slowly. Cause: undici 7.30 asserts in a listener of the socket that its parser isn't paused when the connection ends; an exception there ends the process. Change: both HTTP clients pause at the socket, so the parser never is.

--- a/src/direct/backend_connection.ts
+++ b/src/direct/backend_connection.ts
@@ -3,6 +3,7 @@
 import { err, ok, type Result } from "neverthrow";
 import { type buildConnector, Client, type Dispatcher } from "undici";
 import { type ConnectionEnd, watchEnd } from "../common/connection_end.ts";
+import { pauseAtSocket, ReadPause } from "../common/read_pause.ts";
 import type { BackendServer } from "../directory/mod.ts";
 import { BackendSocket } from "./backend_socket.ts";
 
@@ -37,6 +38,7 @@
   readonly #client: Client;
   readonly #socket: BackendSocket;
   readonly #end: ConnectionEnd;
+  readonly #readPause: ReadPause;
   #closed = false;
   #sentRequests = 0;
   #isRetired = false;
@@ -44,6 +46,7 @@
   private constructor(origin: string, socket: BackendSocket) {
     this.#socket = socket;
     this.#end = watchEnd(socket);
+    this.#readPause = new ReadPause(socket);
     let isSocketTaken = false;
     const provideSocket = (callback: buildConnector.Callback) => {
       if (isSocketTaken) callback(new Error("Connection has ended"), null);
@@ -123,6 +126,7 @@
   /** Sends a request; the handler receives the response. */
   send(request: BackendRequest, handler: Dispatcher.DispatchHandler): void {
     const { method, path, headers, body } = request;
+    const pausable = pauseAtSocket(handler, () => this.#readPause);
     this.#sentRequests += 1;
     this.#socket.restartOverhead();
     this.#client.dispatch(
@@ -133,10 +137,10 @@
         body: body.length === 0 ? null : body,
       },
       {
-        ...handler,
+        ...pausable,
         onResponseData: (controller, chunk) => {
           this.#socket.restartOverhead();
-          handler.onResponseData?.(controller, chunk);
+          pausable.onResponseData?.(controller, chunk);
         },
       },
     );
--- a/src/side_process/server_client.ts
+++ b/src/side_process/server_client.ts
@@ -1,5 +1,6 @@
 /** An HTTP client that tells a response that was reset from a whole one. */
 
+import { Socket } from "node:net";
 import {
   type buildConnector,
   Client,
@@ -8,6 +9,7 @@
   Pool,
 } from "undici";
 import { type ConnectionEnd, watchEnd } from "../common/connection_end.ts";
+import { pauseAtSocket, ReadPause } from "../common/read_pause.ts";
 
 /** Options of a pool of clients. */
 export interface ServerPoolOptions {
@@ -32,20 +34,24 @@
   });
 }
 
-/** The end of the connection that a client has now. */
-interface CurrentEnd {
-  current: ConnectionEnd;
+/** The connection that a client has now. */
+interface CurrentConnection {
+  end: ConnectionEnd;
+  readPause: ReadPause;
 }
 
 class ServerClient extends Client {
-  readonly #end: CurrentEnd;
+  readonly #connection: CurrentConnection;
 
   constructor(
     origin: URL,
     options: Client.Options,
     connect: buildConnector.connector,
   ) {
-    const end: CurrentEnd = { current: { error: null } };
+    const connection: CurrentConnection = {
+      end: { error: null },
+      readPause: new ReadPause(new Socket()),
+    };
     super(origin, {
       ...options,
       connect: (target, callback) => {
@@ -54,29 +60,33 @@
             callback(error, null);
             return;
           }
-          end.current = watchEnd(socket);
+          connection.end = watchEnd(socket);
+          connection.readPause = new ReadPause(socket);
           callback(null, socket);
         });
       },
     });
-    this.#end = end;
+    this.#connection = connection;
   }
 
   override dispatch(
     options: Dispatcher.DispatchOptions,
     handler: Dispatcher.DispatchHandler,
   ): boolean {
-    return super.dispatch(options, checkEnd(handler, this.#end));
+    return super.dispatch(options, checkEnd(handler, this.#connection));
   }
 }
 
 /** Returns a handler that fails where a connection ends by an error. */
 function checkEnd(
   inner: Dispatcher.DispatchHandler,
-  end: CurrentEnd,
+  connection: CurrentConnection,
 ): Dispatcher.DispatchHandler {
   // A pool passes handlers on in undici's older form; this has the newer one.
-  const handler: Dispatcher.DispatchHandler = new DecoratorHandler(inner);
+  const handler = pauseAtSocket(
+    new DecoratorHandler(inner),
+    () => connection.readPause,
+  );
   return {
     onRequestStart: (...args) => handler.onRequestStart?.(...args),
     onRequestUpgrade: (...args) => handler.onRequestUpgrade?.(...args),
@@ -84,7 +94,7 @@
     onResponseData: (...args) => handler.onResponseData?.(...args),
     onResponseError: (...args) => handler.onResponseError?.(...args),
     onResponseEnd: (controller, trailers) => {
-      const { error } = end.current;
+      const { error } = connection.end;
       if (error === null) handler.onResponseEnd?.(controller, trailers);
       else handler.onResponseError?.(controller, error);
     },
--- /dev/null
+++ b/tests/direct/paused_response_test.ts
@@ -0,0 +1,97 @@
+/**
+ * Responses whose connection ends while their reader is paused. undici threw in
+ * a listener of the socket then, which ended the router and all its requests.
+ */
+
+import assert from "node:assert/strict";
+import { afterEach, test } from "node:test";
+import { setTimeout as delay } from "node:timers/promises";
+import { BackendConnection } from "../../src/direct/backend_connection.ts";
+import type { BackendServer } from "../../src/directory/mod.ts";
+import {
+  type ReceivedRequest,
+  ScriptedServer,
+} from "../../stand_ins/scripted_server.ts";
+import { until } from "../../tools/fleet/until.ts";
+import { createServer } from "../support/servers.ts";
+
+const TIMEOUT_MS = 5_000;
+/** So that each write is read by itself. */
+const READ_MS = 50;
+const HEADS = {
+  "until-close": "HTTP/1.1 200 OK\r\n\r\n",
+  "a length":
+    "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 4\r\n\r\n",
+  chunks:
+    "HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n",
+};
+const ENDS = ["FIN", "reset"] as const;
+
+let server: ScriptedServer;
+let connection: BackendConnection | null = null;
+
+afterEach(() => {
+  connection?.destroy();
+  server.crash();
+});
+
+async function connect(): Promise<BackendConnection> {
+  server = new ScriptedServer(() => {});
+  await server.listen();
+  const address = { host: "127.0.0.1", port: server.port };
+  const target: BackendServer = createServer(address);
+  connection = (await BackendConnection.open(target))._unsafeUnwrap();
+  return connection;
+}
+
+async function firstRequest(): Promise<ReceivedRequest> {
+  await until("the request arrives", TIMEOUT_MS, {
+    holds: () => server.requests.length > 0,
+  });
+  const [received] = server.requests;
+  assert.ok(received);
+  return received;
+}
+
+for (const [framing, head] of Object.entries(HEADS)) {
+  for (const end of ENDS) {
+    test(`a paused response with ${framing} ends with a ${end}`, async () => {
+      const opened = await connect();
+      let text = "";
+      let outcome = "open";
+      let resume = () => {};
+      opened.send(
+        { method: "GET", path: "/", headers: [], body: Buffer.alloc(0) },
+        {
+          onRequestStart: () => {},
+          onResponseData: (controller, chunk) => {
+            text += chunk.toString("latin1");
+            controller.pause();
+            resume = () => controller.resume();
+          },
+          onResponseEnd: () => {
+            outcome = opened.error === null ? "ended" : "reset";
+          },
+          onResponseError: () => {
+            outcome = "failed";
+          },
+        },
+      );
+      const { socket } = await firstRequest();
+      socket.write(head);
+      await delay(READ_MS);
+      socket.write(framing === "chunks" ? "4\r\nfine\r\n" : "fine");
+      await delay(READ_MS);
+      if (end === "reset") socket.resetAndDestroy();
+      else socket.end(framing === "chunks" ? "0\r\n\r\n" : "");
+      await delay(READ_MS);
+      resume();
+      await until("the response ends", TIMEOUT_MS, {
+        holds: () => outcome !== "open",
+      });
+      assert.equal(text, "fine");
+      if (end === "FIN") assert.equal(outcome, "ended");
+      else if (framing !== "a length") assert.notEqual(outcome, "ended");
+    });
+  }
+}
--- a/tests/side_process/backend_client_test.ts
+++ b/tests/side_process/backend_client_test.ts
@@ -2,6 +2,7 @@
 
 import assert from "node:assert/strict";
 import { afterEach, test } from "node:test";
+import { setTimeout as delay } from "node:timers/promises";
 import type { RunRequest } from "../../src/protocol/mod.ts";
 import { BackendClient } from "../../src/side_process/backend_client.ts";
 import {
@@ -104,3 +105,31 @@
     for (let repeat = 0; repeat < REPEATS; repeat += 1)
       assert.equal(await call(), null);
   });
+
+// Guards against a side process that ends: undici threw in a listener of a socket
+// whose connection ended while the reader of its response was slow.
+for (const end of ["FIN", "reset"] as const) {
+  test(`a response that isn't read ends with a ${end}`, async () => {
+    const piece = "x".repeat(70_000);
+    await start(async ({ socket }) => {
+      socket.write("HTTP/1.1 200 OK\r\n\r\n");
+      await delay(50);
+      socket.write(piece);
+      await delay(100);
+      if (end === "FIN") socket.end();
+      else socket.resetAndDestroy();
+    });
+    const signal = AbortSignal.timeout(TIMEOUT_MS);
+    const reply = (await client.start(createRun(), signal))._unsafeUnwrap();
+    await delay(300);
+    let sizeBytes = 0;
+    const read = async () => {
+      for await (const chunk of reply.body) sizeBytes += chunk.length;
+    };
+    if (end === "reset") await assert.rejects(read());
+    else {
+      await read();
+      assert.equal(sizeBytes, piece.length);
+    }
+  });
+}
