router, direct: reset truncated responses of a killed router

Cause: the kernel ends the connections of a killed process with a FIN, the mark of the end of responses without a length or chunks; to HTTP/1.0 callers all streams are such responses. Change: SO_LINGER of 0 s (through koffi) until the whole response is in the kernel. koffi is a new library; without it the router logs and goes on. Failed before: 9 cases of on_platform/killed_router_test.ts (SIGKILL, SIGABRT, SIGSEGV), the one of router/killed_router_test.ts.

--- a/src/direct/caller_response.ts
+++ b/src/direct/caller_response.ts
@@ -2,6 +2,7 @@
 
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import * as connectionReset from "../common/connection_reset.ts";
 import { HOP_BY_HOP_HEADERS } from "../common/hop_by_hop_headers.ts";
 import { bodyOf, type Failure } from "../router/failure.ts";
 import { BodyWriter } from "./body_writer.ts";
@@ -137,14 +138,15 @@
       if (isResumable && name === "content-length") continue;
       response.setHeader(name, value);
     }
-    this.#endsWithConnection = framingOf(headers) === "until-close";
-    if (this.#endsWithConnection) {
+    if (framingOf(headers) === "until-close") {
       // A server's close doesn't show that its response is complete, so the
       // router must not mark an end by a last chunk.
       response.useChunkedEncodingByDefault = false;
       response.shouldKeepAlive = false;
     }
     this.#announceIdleTimeout();
+    this.#endsWithConnection = connectionReset.endsWithConnection(response);
+    if (this.#endsWithConnection) connectionReset.resetUntilFinished(response);
     response.flushHeaders();
   }
 
--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -2,6 +2,7 @@
 
 import { randomUUID } from "node:crypto";
 import { systemClock } from "../common/clock.ts";
+import * as connectionReset from "../common/connection_reset.ts";
 import type { EventLog } from "../common/event_log.ts";
 import { EventLoopProfile } from "../common/event_loop_profile.ts";
 import { sleep } from "../common/promises.ts";
@@ -237,6 +238,9 @@
   async start(): Promise<void> {
     const { entry, ready, metrics, instance } = this.#settings;
     compileFirstSchemas();
+    connectionReset
+      .load()
+      .mapErr((reason) => this.#events.warn("no-connection-reset", { reason }));
     await this.#callerServer.listen(parseAddress(entry));
     await this.#readyEndpoint.listen(parseAddress(ready));
     if (metrics !== undefined) {
--- a/src/router/caller_response.ts
+++ b/src/router/caller_response.ts
@@ -2,6 +2,7 @@
 
 import { once } from "node:events";
 import type { ServerResponse } from "node:http";
+import * as connectionReset from "../common/connection_reset.ts";
 import { countServerSentEvents } from "../common/server_sent_events.ts";
 import type { Head } from "../protocol/mod.ts";
 import { bodyOf, type Failure, headersOf } from "./failure.ts";
@@ -55,6 +56,8 @@
       const values = before === undefined ? value : [String(before), value];
       this.#response.setHeader(name, values);
     }
+    if (connectionReset.endsWithConnection(this.#response))
+      connectionReset.resetUntilFinished(this.#response);
     this.#response.flushHeaders();
   }
 
--- a/src/router/router.ts
+++ b/src/router/router.ts
@@ -4,6 +4,7 @@
 import type { ServiceBroker } from "moleculer";
 import * as admin from "../admin/mod.ts";
 import { systemClock } from "../common/clock.ts";
+import * as connectionReset from "../common/connection_reset.ts";
 import { Deadline } from "../common/deadline.ts";
 import { logger } from "../common/log.ts";
 import { sleep } from "../common/promises.ts";
@@ -112,6 +113,9 @@
    * bound.
    */
   async start(): Promise<void> {
+    connectionReset.load().mapErr((reason) => {
+      log.warn(`Truncated responses without a length won't show: ${reason}`);
+    });
     this.#activeConfiguration.onAdopted(() =>
       this.#sideProcessPool.announceConfiguration(),
     );
