direct: take up streams that nobody remembers at the only version

Cause: a stream named by its caller was refused if no process remembered it, though its service had one version only; and what is known of versions began with the router's own start.

--- a/src/direct/direct_router.ts
+++ b/src/direct/direct_router.ts
@@ -77,6 +77,8 @@
   readonly configuration: ConfigurationState;
   /** Known backend servers; their source adds and removes them. */
   readonly directory: ServerDirectory;
+  /** Versions of the backend servers, lately and now. */
+  readonly versions: VersionHistory;
   /** Zones that operators have emptied. */
   readonly evacuations: ZoneEvacuations;
   readonly #settings: DirectRouterSettings;
@@ -91,7 +93,6 @@
   readonly #origins: StreamOrigins;
   readonly #sharedEvacuations: SharedEvacuations;
   readonly #zoneRegions: ZoneRegions;
-  readonly #versions: VersionHistory;
   readonly #callerServer: CallerServer;
   readonly #readyEndpoint: MonitoringEndpoint;
   readonly #metricsEndpoint: MonitoringEndpoint;
@@ -117,7 +118,7 @@
     const limits = configurationLimitsOf(settings);
     this.configuration = new ConfigurationState(clock, events, limits);
     this.directory = new ServerDirectory(clock);
-    this.#versions = new VersionHistory(clock);
+    this.versions = new VersionHistory(clock);
     this.evacuations = new ZoneEvacuations(clock);
     // Before requests are placed there again: its servers have had none.
     this.evacuations.onChange(({ returned }) => {
@@ -168,7 +169,7 @@
     });
     this.#origins = new StreamOrigins({
       ...{ clock, events, directory: this.directory },
-      versions: this.#versions,
+      versions: this.versions,
       holders: () => this.#admissionClients.originHolders,
     });
     this.#crashGuard = new CrashGuard({
@@ -397,7 +398,7 @@
       const server = { server: id, service, version, state };
       const fields = { change: change.type, ...server };
       this.#events.info("server", fields);
-      this.#versions.apply(change);
+      this.versions.apply(change);
       this.#scheduler.apply(change);
       this.#handleColdEntry(change);
       this.#crashGuard.handleChange(change);
--- a/src/direct/stream_origins.ts
+++ b/src/direct/stream_origins.ts
@@ -92,15 +92,21 @@
     this.#note(request, { type: "known", origin }, origin.server);
   }
 
-  /** Returns where a request's stream began; null if that isn't certain. */
-  async find(request: string): Promise<StreamOrigin | null> {
+  /**
+   * Returns where a request's stream began; null if that isn't certain.
+   *
+   * @param unremembered where it began if neither this router nor an admission
+   * controller remembers it
+   */
+  async find(
+    request: string,
+    unremembered: () => StreamOrigin | null = () => null,
+  ): Promise<StreamOrigin | null> {
     const own = this.#memory.find(request);
     const record = own ?? (await this.#query(request));
-    const isKnown = record?.type === "known";
-    const origin =
-      isKnown && this.isCertain(record.origin) ? record.origin : null;
+    const origin = this.#originIn(record, unremembered);
     this.#deps.events.info("stream-origin", {
-      ...{ request, found: own === null ? "admission" : "here" },
+      ...{ request, found: sourceOf(own, record) },
       state: record?.type ?? "unknown",
       ...{ certain: origin !== null, version: origin?.version ?? null },
     });
@@ -108,8 +114,8 @@
   }
 
   /**
-   * Where a stream of the last `forMs` must have begun, for callers that don't
-   * say; null if the service had several versions.
+   * Where a stream of the last `forMs` must have begun if nobody remembers it, or
+   * its caller doesn't name it; null if the service may have had several versions.
    */
   soleOrigin(service: string, forMs: number): StreamOrigin | null {
     const { directory, versions } = this.#deps;
@@ -172,6 +178,15 @@
     this.#replicationTimer.unref();
   }
 
+  #originIn(
+    record: OriginRecord | null,
+    unremembered: () => StreamOrigin | null,
+  ): StreamOrigin | null {
+    if (record === null) return unremembered();
+    if (record.type === "ambiguous") return null;
+    return this.isCertain(record.origin) ? record.origin : null;
+  }
+
   #replicateAgain(): void {
     this.#replicationTimer = null;
     const holders = this.#deps.holders();
@@ -229,3 +244,12 @@
     return agreedRecord(await this.#queries.ask(request, holders));
   }
 }
+
+/** Who knows how a stream began; `entries`: its service had one version only. */
+function sourceOf(
+  own: OriginRecord | null,
+  found: OriginRecord | null,
+): "here" | "admission" | "entries" {
+  if (own !== null) return "here";
+  return found === null ? "entries" : "admission";
+}
--- a/src/direct/take_up.ts
+++ b/src/direct/take_up.ts
@@ -24,10 +24,14 @@
   if (route.repetition !== "resumable" || terms.lastEventId === null)
     return ok(null);
   const lifetimeMs = route.timeoutMs * STREAM_LIFETIME_TIMEOUTS;
+  const soleOrigin = () => origins.soleOrigin(service, lifetimeMs);
+  // Of several services, any may have begun a stream that nobody remembers.
+  const unremembered = () =>
+    route.destinations.length === 1 ? soleOrigin() : null;
   const origin =
     terms.resumes === null
-      ? origins.soleOrigin(service, lifetimeMs)
-      : await origins.find(terms.resumes);
+      ? soleOrigin()
+      : await origins.find(terms.resumes, unremembered);
   if (origin === null) {
     const sentence = "It isn't known which version began the stream";
     return err(refusal("unknown-origin", sentence));
--- a/tests/direct/stream_version_test.ts
+++ b/tests/direct/stream_version_test.ts
@@ -252,3 +252,32 @@
   assert.equal(status, 200);
   assert.ok(isComplete);
 });
+
+const unnamed = { "last-event-id": "1", resumes: "never-seen" };
+
+// Guards against streams that end for good because all processes that remembered
+// them were killed, although no version could be mixed.
+test("a take-up that nobody remembers goes on at the only version", async () => {
+  await start({ versions: ["v1", "v1"] });
+  routers[0]?.router.versions.complete([]);
+  const { status, text } = await call({ headers: unnamed });
+  assert.equal(status, 200);
+  assert.deepEqual(versionsIn(text), ["v1"]);
+});
+
+test("a take-up at a router that has just started is refused", async () => {
+  await start({ versions: ["v1", "v1"] });
+  const { status } = await call({ headers: unnamed });
+  assert.equal(status, 503);
+  assert.equal(arrivals(), 0);
+});
+
+test("a take-up isn't guessed after a version was replaced", async () => {
+  await start({ versions: ["v1", "v2"] });
+  const { router } = routers[0] ?? assert.fail("No router");
+  router.versions.complete([]);
+  router.directory.remove("s1");
+  const { status } = await call({ headers: unnamed });
+  assert.equal(status, 503);
+  assert.equal(arrivals(), 0);
+});
--- a/tests/on_platform/kind_watcher_test.ts
+++ b/tests/on_platform/kind_watcher_test.ts
@@ -73,6 +73,7 @@
     },
     onStoreLost: () => calls.push("lost"),
     onStoreRegained: () => calls.push("regained"),
+    onHistory: null,
     onStoreRestored: () => calls.push("restored"),
   });
 }
