common: let the memory of a buffer follow what it has got

Cause: a body over 64 KB reserved a buffer as long as the limit; the runtime throws over 4 GiB, in a listener, which ends the process. Change: buffers reserve a multiple of their bytes and are copied when outgrown; a buffer that can't be had refuses the body as without memory. Failed before: byte_buffer_test 5 of 7, body_limit_test ('read ECONNRESET', RangeError).

--- a/src/common/body_text.ts
+++ b/src/common/body_text.ts
@@ -14,7 +14,8 @@
   for await (const chunk of body) {
     if (received.sizeBytes + chunk.length > limitBytes)
       throw new Error(`Response is over ${limitBytes} bytes long`);
-    received.append(chunk);
+    if (!received.append(chunk))
+      throw new Error("There is no memory left for the response");
   }
   const text = received.bytes.toString("utf8");
   received.free();
--- a/src/common/byte_buffer.ts
+++ b/src/common/byte_buffer.ts
@@ -5,8 +5,15 @@
 /** Larger buffers are freed at once instead of at the next garbage collection. */
 const LARGEST_PLAIN_BYTES = 64 * 1_024;
 
+/**
+ * Address space that a large buffer reserves, in times of its memory, so that it
+ * grows without being copied. It is no memory until bytes come.
+ */
+const RESERVED_FACTOR = 8;
+
 /** A resizable buffer; the library of the compiler's target lacks it. */
 interface ResizableBuffer extends ArrayBuffer {
+  readonly maxByteLength: number;
   resize(sizeBytes: number): void;
 }
 
@@ -25,7 +32,7 @@
   #sizeBytes = 0;
 
   constructor(limitBytes: number) {
-    this.#limitBytes = limitBytes;
+    this.#limitBytes = Math.floor(limitBytes);
   }
 
   /** Bytes that were appended. */
@@ -46,12 +53,18 @@
     return Math.max(neededBytes, Math.min(capacityBytes, this.#limitBytes));
   }
 
-  /** Copies bytes, of which there may be `limitBytes` in all. */
-  append(chunk: Buffer): void {
+  /**
+   * Copies bytes, of which there may be `limitBytes` in all. Returns false and
+   * copies nothing if the runtime has no memory for them, or has no buffers of
+   * that size.
+   */
+  append(chunk: Buffer): boolean {
     const capacityBytes = this.capacityFor(chunk.length);
-    if (capacityBytes > this.#memory.length) this.#extend(capacityBytes);
+    if (capacityBytes > this.#memory.length && !this.#extend(capacityBytes))
+      return false;
     this.#memory.set(chunk, this.#sizeBytes);
     this.#sizeBytes += chunk.length;
+    return true;
   }
 
   /** Frees the memory at once; what is read from it then is empty. */
@@ -61,20 +74,48 @@
     this.#sizeBytes = 0;
   }
 
-  #extend(capacityBytes: number): void {
-    if (this.#resizable !== null) {
-      this.#resizable.resize(capacityBytes);
-      this.#memory = Buffer.from(this.#resizable, 0, capacityBytes);
+  #extend(capacityBytes: number): boolean {
+    try {
+      if (capacityBytes <= LARGEST_PLAIN_BYTES) {
+        const memory = Buffer.allocUnsafeSlow(capacityBytes);
+        memory.set(this.bytes);
+        this.#memory = memory;
+      } else this.#extendResizable(capacityBytes);
+      return true;
+    } catch {
+      return false;
+    }
+  }
+
+  #extendResizable(capacityBytes: number): void {
+    const current = this.#resizable;
+    if (current !== null && capacityBytes <= current.maxByteLength) {
+      current.resize(capacityBytes);
+      this.#memory = Buffer.from(current, 0, capacityBytes);
       return;
     }
-    const previous = this.bytes;
-    if (capacityBytes <= LARGEST_PLAIN_BYTES) {
-      this.#memory = Buffer.allocUnsafeSlow(capacityBytes);
-    } else {
-      const maxByteLength = Math.max(this.#limitBytes, capacityBytes);
-      this.#resizable = new createResizable(capacityBytes, { maxByteLength });
-      this.#memory = Buffer.from(this.#resizable, 0, capacityBytes);
+    const next = createReserved(capacityBytes, this.#limitBytes);
+    const memory = Buffer.from(next, 0, capacityBytes);
+    memory.set(this.bytes);
+    this.#memory = memory;
+    this.#resizable = next;
+    current?.resize(0);
+  }
+}
+
+/** Throws if there is no address space for it. */
+function createReserved(
+  capacityBytes: number,
+  limitBytes: number,
+): ResizableBuffer {
+  const wanted = Math.min(capacityBytes * RESERVED_FACTOR, limitBytes);
+  const sizes = [Math.max(wanted, capacityBytes), capacityBytes];
+  for (const maxByteLength of sizes) {
+    try {
+      return new createResizable(capacityBytes, { maxByteLength });
+    } catch {
+      // Without room to grow it may still fit.
     }
-    this.#memory.set(previous);
   }
+  throw new RangeError(`No buffer of ${capacityBytes} bytes`);
 }
--- a/src/common/held_buffer.ts
+++ b/src/common/held_buffer.ts
@@ -48,8 +48,7 @@
       if (isLarger && !this.#holding.grow(capacityBytes)) return "no-memory";
       this.#holding.advance(bytes.length);
     }
-    this.#buffer.append(bytes);
-    return "kept";
+    return this.#buffer.append(bytes) ? "kept" : "no-memory";
   }
 
   /** Returns what is kept, followed by further bytes, and keeps nothing. */
--- a/src/direct/body_writer.ts
+++ b/src/direct/body_writer.ts
@@ -27,9 +27,8 @@
   /** Writes bytes; returns false if no more should follow before `onDrain`. */
   write(bytes: Buffer): boolean {
     const waitingBytes = this.#waiting.sizeBytes + bytes.length;
-    if (this.#writes > 0 && waitingBytes <= WAITING_LIMIT_BYTES) {
-      this.#waiting.append(bytes);
-    } else {
+    const mayWait = this.#writes > 0 && waitingBytes <= WAITING_LIMIT_BYTES;
+    if (!mayWait || !this.#waiting.append(bytes)) {
       this.#flush();
       this.#send(bytes);
     }
--- a/src/router/upload.ts
+++ b/src/router/upload.ts
@@ -94,10 +94,8 @@
       this.#fail(tooLong(this.#limitBytes));
     else if (!this.#holding.grow(this.#buffer.capacityFor(chunk.length)))
       this.#fail(noMemory());
-    else {
-      this.#buffer.append(chunk);
-      this.#holding.advance(chunk.length);
-    }
+    else if (!this.#buffer.append(chunk)) this.#fail(noMemory());
+    else this.#holding.advance(chunk.length);
   }
 
   #end(outcome: Outcome): void {
--- a/src/side_process/response_buffer.ts
+++ b/src/side_process/response_buffer.ts
@@ -66,8 +66,10 @@
   append(bytes: Buffer): Chunk {
     const chunk = { offset: this.#endOffset, bytes };
     this.#keep(chunk);
-    if (chunk.offset + bytes.length <= this.#retainLimitBytes)
-      this.#retained?.append(bytes);
+    const isRetained = chunk.offset + bytes.length <= this.#retainLimitBytes;
+    // Nothing is retained of a response for which there is no memory.
+    if (isRetained && this.#retained?.append(bytes) === false)
+      this.#retainLimitBytes = -1;
     this.#endOffset += bytes.length;
     return chunk;
   }
