common: don't give timers more than the runtime takes

Callers saw: slow routers, once an operator had set a timeout of over 2^31 ms: the deadline of each request without one of its own fired at once, and was set again, a thousand times a second. Cause: the runtime takes a duration over 31 bits for 1 ms. Change: durations that may be named from outside are cut to what timers take.

--- a/src/common/promises.ts
+++ b/src/common/promises.ts
@@ -1,10 +1,13 @@
 /** Sleeping, process termination, and promises with a time limit. */
 
 import { setTimeout as delay } from "node:timers/promises";
+import { timerMs } from "./timer.ts";
 
 /** Sleeps, or returns early when the signal aborts. Never throws. */
 export async function sleep(ms: number, signal?: AbortSignal): Promise<void> {
-  await delay(ms, undefined, { signal, ref: true }).catch(() => undefined);
+  await delay(timerMs(ms), undefined, { signal, ref: true }).catch(
+    () => undefined,
+  );
 }
 
 /**
--- a/src/direct/caller_server.ts
+++ b/src/direct/caller_server.ts
@@ -11,6 +11,7 @@
 import { listen } from "../common/listen.ts";
 import { OverloadGuard } from "../common/overload_guard.ts";
 import { ProcessorShare } from "../common/processor_share.ts";
+import { timerMs } from "../common/timer.ts";
 import type { CallerLimits } from "../routing/mod.ts";
 import { SHORT_RETRY_AFTER_MS, withJitter } from "../scheduling/mod.ts";
 import type { ListenAddress } from "../transport/mod.ts";
@@ -119,8 +120,8 @@
 
   /** Applies the timeouts of callers' connections. */
   setLimits({ headerTimeoutMs, idleTimeoutMs }: CallerLimits): void {
-    this.#server.headersTimeout = headerTimeoutMs;
-    this.#server.keepAliveTimeout = idleTimeoutMs;
+    this.#server.headersTimeout = timerMs(headerTimeoutMs);
+    this.#server.keepAliveTimeout = timerMs(idleTimeoutMs);
   }
 
   /** Makes callers reconnect for their next request, at another router. */
--- a/src/direct/exchange.ts
+++ b/src/direct/exchange.ts
@@ -1,6 +1,7 @@
 /** Serves one caller's request, from its headers to the end of its response. */
 
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { timerMs } from "../common/timer.ts";
 import type { TeamShares, TeamTally } from "../fairness/mod.ts";
 import type { MetricsRegistry } from "../metrics/registry.ts";
 import type { StreamOrigin } from "../origins/mod.ts";
@@ -256,7 +257,7 @@
     else {
       const check = () => this.#checkDeadline(admitted);
       // A timer may fire up to a millisecond early.
-      this.#deadlineTimer = setTimeout(check, Math.ceil(remainingMs));
+      this.#deadlineTimer = setTimeout(check, timerMs(Math.ceil(remainingMs)));
     }
   }
 
--- a/src/direct/relay.ts
+++ b/src/direct/relay.ts
@@ -4,6 +4,7 @@
 import { HeldBuffer } from "../common/held_buffer.ts";
 import type { HeldBytes } from "../common/held_bytes.ts";
 import { isInformational } from "../common/http_status.ts";
+import { timerMs } from "../common/timer.ts";
 import type {
   BackendConnection,
   BackendRequest,
@@ -166,7 +167,7 @@
     this.#silenceTimer = setTimeout(() => {
       this.#isSilent = true;
       this.#options.onSilence();
-    }, silenceTimeoutMs);
+    }, timerMs(silenceTimeoutMs));
   }
 
   #stopSilenceTimer(): void {
--- a/src/router/request_queue.ts
+++ b/src/router/request_queue.ts
@@ -2,6 +2,7 @@
 
 import type { Clock } from "../common/clock.ts";
 import { Deferred } from "../common/promises.ts";
+import { timerMs } from "../common/timer.ts";
 import type { CallerRequest } from "./caller_request.ts";
 import { DemandAnnouncer } from "./demand_announcer.ts";
 import type { SideProcessPeer } from "./side_process_peer.ts";
@@ -69,7 +70,7 @@
     const waiting = { request, result };
     const timer = setTimeout(
       () => result.resolve({ type: "deadline" }),
-      request.deadline.remainingMs,
+      timerMs(request.deadline.remainingMs),
     );
     const onDisconnect = () => result.resolve({ type: "caller-gone" });
     disconnectSignal.addEventListener("abort", onDisconnect, { once: true });
--- a/src/router/response_relay.ts
+++ b/src/router/response_relay.ts
@@ -1,6 +1,7 @@
 /** Relays the response of one attempt to the caller. */
 
 import type { Clock } from "../common/clock.ts";
+import { timerMs } from "../common/timer.ts";
 import type { Head, RunRequest } from "../protocol/mod.ts";
 import type { Attempt } from "./attempt.ts";
 import type { AttemptOutcome } from "./attempt_outcome.ts";
@@ -34,7 +35,7 @@
   const { deadline } = request;
   const stop = () =>
     attempt.markLost("The deadline passed or the caller disconnected");
-  const timer = setTimeout(stop, deadline.remainingMs);
+  const timer = setTimeout(stop, timerMs(deadline.remainingMs));
   response.disconnectSignal.addEventListener("abort", stop, { once: true });
   if (response.disconnectSignal.aborted) stop();
   const outcome = await relayEvents(peer, attempt, { response, clock });
--- a/src/side_process/attempt.ts
+++ b/src/side_process/attempt.ts
@@ -2,6 +2,7 @@
 
 import type { Clock } from "../common/clock.ts";
 import { Deadline } from "../common/deadline.ts";
+import { timerMs } from "../common/timer.ts";
 import type {
   AttemptFailure,
   FailedOutcome,
@@ -89,7 +90,7 @@
   async execute(): Promise<AttemptResult> {
     const timer = setTimeout(
       () => this.#abort.abort("deadline"),
-      this.#deadline.remainingMs,
+      timerMs(this.#deadline.remainingMs),
     );
     const reader = new ResponseReader(
       { ...this.#deps, run: this.run, buffer: this.buffer },
