--- a/src/direct/admission_client.ts
+++ b/src/direct/admission_client.ts
@@ -22,6 +22,7 @@
   ServerReport,
   SoundReport,
 } from "../protocol/mod.ts";
+import { MAX_PACKED_PARTS } from "../protocol/mod.ts";
 import {
   costOf,
   type EngineAdmission,
@@ -376,8 +377,15 @@
   }
 }
 
-function packParts({ parts }: Prompt): PackedPart[] {
-  return parts.map(({ id, tokens }) => [id, tokens]);
+function packParts({ parts }: Pick<Prompt, "parts">): PackedPart[] {
+  const last = parts.at(-1);
+  if (parts.length <= MAX_PACKED_PARTS || last === undefined)
+    return parts.map(({ id, tokens }) => [id, tokens]);
+  // The controller takes the rest of a long prompt for its own last part.
+  const rest = parts.slice(MAX_PACKED_PARTS - 1);
+  const restTokens = rest.reduce((sum, { tokens }) => sum + tokens, 0);
+  const listed = packParts({ parts: parts.slice(0, MAX_PACKED_PARTS - 1) });
+  return [...listed, [last.id, restTokens]];
 }
 
 function runningRequestMessage(
--- a/src/direct/stream_origins.ts
+++ b/src/direct/stream_origins.ts
@@ -8,6 +8,7 @@
 
 import type { Clock } from "../common/clock.ts";
 import type { EventLog } from "../common/event_log.ts";
+import { shortKey } from "../common/short_key.ts";
 import type { ServerDirectory, VersionHistory } from "../directory/mod.ts";
 import {
   isCompatible,
@@ -77,7 +78,8 @@
   }
 
   /** Records that a request without an event so far is sent to a server. */
-  noteSend(request: string, origin: StreamOrigin): void {
+  noteSend(id: string, origin: StreamOrigin): void {
+    const request = shortKey(id);
     const known = this.#memory.find(request);
     if (known?.type === "known" && isCompatible(known.origin, origin)) return;
     const record: OriginRecord =
@@ -86,7 +88,8 @@
   }
 
   /** Records that the first event of a request's stream is forwarded. */
-  noteBeginning(request: string, origin: StreamOrigin): void {
+  noteBeginning(id: string, origin: StreamOrigin): void {
+    const request = shortKey(id);
     const known = this.#memory.find(request);
     if (known?.type === "known" && isCompatible(known.origin, origin)) return;
     this.#note(request, { type: "known", origin }, origin.server);
@@ -99,14 +102,15 @@
    * controller remembers it
    */
   async find(
-    request: string,
+    id: string,
     unremembered: () => StreamOrigin | null = () => null,
   ): Promise<StreamOrigin | null> {
+    const request = shortKey(id);
     const own = this.#memory.find(request);
     const record = own ?? (await this.#query(request));
     const origin = this.#originIn(record, unremembered);
     this.#deps.events.info("stream-origin", {
-      ...{ request, found: sourceOf(own, record) },
+      ...{ request: id, found: sourceOf(own, record) },
       state: record?.type ?? "unknown",
       ...{ certain: origin !== null, version: origin?.version ?? null },
     });
@@ -139,7 +143,8 @@
    * it may be sent to any. Holders know the version that it was
    * sent to first, so all of them must confirm that this isn't certain any more.
    */
-  async boundVersion(request: string): Promise<string | null> {
+  async boundVersion(id: string): Promise<string | null> {
+    const request = shortKey(id);
     const record = this.#memory.find(request);
     if (record?.type !== "known") return null;
     const { server, service, version } = record.origin;
@@ -160,7 +165,7 @@
 
   /** Records that a response is complete: nobody takes its stream up. */
   noteEnd(request: string): void {
-    this.#replicated.delete(request);
+    this.#replicated.delete(shortKey(request));
   }
 
   /** Handles an admission controller's answer. */
--- a/src/protocol/admission_messages.ts
+++ b/src/protocol/admission_messages.ts
@@ -1,5 +1,8 @@
 /** Messages for the admission of requests to one backend server's engine. */
 
+/** Most parts of a prompt in one message. */
+export const MAX_PACKED_PARTS = 1_000;
+
 /** A part of a prompt, with its number of tokens. */
 export type PackedPart = readonly [id: string, tokens: number];
 
--- a/src/protocol/schema.ts
+++ b/src/protocol/schema.ts
@@ -3,7 +3,7 @@
 import { err, type Result } from "neverthrow";
 import type { Finding } from "../common/finding.ts";
 import { Schema } from "../common/schema.ts";
-import { MAX_EVACUATED_ZONES } from "./admission_messages.ts";
+import { MAX_EVACUATED_ZONES, MAX_PACKED_PARTS } from "./admission_messages.ts";
 import type { Message } from "./message.ts";
 
 const text = { type: "string", maxLength: 4096 };
@@ -44,7 +44,10 @@
   answer: storedResponse,
 });
 
-const parts = { type: "array", maxItems: 1_000, items: tuple(text, count) };
+const parts = {
+  ...{ type: "array", maxItems: MAX_PACKED_PARTS },
+  items: tuple(text, count),
+};
 /** Bounded by what a process stores of one crash. */
 const suspectList = { type: "array", maxItems: 256 };
 const suspectTexts = { ...suspectList, items: text };
