platform, cli: an exception in a listener ends no process

Cause: nothing caught exceptions of listeners and timers. Change: a process that has started logs them as defects and goes on. Failed before: defect_test 'an exception in a listener ends no program' (no defect line, the programs ended).

--- a/src/cli/daemon_commands.ts
+++ b/src/cli/daemon_commands.ts
@@ -1,6 +1,7 @@
 /** Commands that run a router or side process until a signal. */
 
 import type { Command } from "commander";
+import { surviveDefects } from "../common/defects.ts";
 import { messageOf } from "../common/error_message.ts";
 import { formatFindings } from "../common/finding.ts";
 import { flush, logger, setLevel } from "../common/log.ts";
@@ -77,6 +78,7 @@
     log.error(`Can't start: ${messageOf(error)}`);
     process.exit(ExitCode.UNAVAILABLE);
   }
+  surviveDefects(({ stack }) => log.error(`Unexpected error: ${stack}`));
   await terminated;
   await daemon.close();
   await flush();
