quarantine: suspect all parts of long prompts

Cause: only the first 128 shared parts of a prompt were suspected, and 256 suspects kept of a crash. Change: all parts are, within as many entries of all crashes as before; reports are split into messages that their schemas take.

--- a/src/admission/crash_relay.ts
+++ b/src/admission/crash_relay.ts
@@ -13,16 +13,13 @@
   SoundReport,
   SuspectRequest,
 } from "../protocol/mod.ts";
-import { CrashEvidence, CrashSync } from "../quarantine/mod.ts";
+import { CrashEvidence, CrashSync, messagesOf } from "../quarantine/mod.ts";
 
 /**
  * Time for which news is collected: much less than a server needs to crash
  * under the next request with the same cause.
  */
 const COLLECT_MS = 50;
-/** Longest list in a report. */
-const REPORT_LIMIT = 256;
-
 /** News of one crash. */
 interface CollectedCrash {
   readonly reportedAtMs: number;
@@ -110,19 +107,22 @@
     this.#crashes = new Map();
     this.#soundAtMs = new Map();
     for (const [crash, { reportedAtMs, ageMs, ...lists }] of crashes)
-      this.#send({
+      this.#sendInMessages({
         ...{ type: "crash-report", crash },
         ageMs: ageMs + nowMs - reportedAtMs,
         ...lists,
       });
-    for (let start = 0; start < sound.length; start += REPORT_LIMIT) {
-      const part = sound.slice(start, start + REPORT_LIMIT);
-      this.#send({
-        type: "sound-report",
-        suspects: part.map(([suspect]) => suspect),
-        // The oldest, so that no later crash is taken for an earlier one.
-        ageMs: nowMs - Math.min(...part.map(([, atMs]) => atMs)),
-      });
-    }
+    if (sound.length === 0) return;
+    this.#sendInMessages({
+      type: "sound-report",
+      suspects: sound.map(([suspect]) => suspect),
+      // The oldest, so that no later crash is taken for an earlier one.
+      ageMs:
+        nowMs - sound.reduce((min, [, atMs]) => Math.min(min, atMs), nowMs),
+    });
+  }
+
+  #sendInMessages(report: CrashReport | SoundReport): void {
+    for (const message of messagesOf(report)) this.#send(message);
   }
 }
--- a/src/direct/crash_guard.ts
+++ b/src/direct/crash_guard.ts
@@ -13,6 +13,7 @@
   type CrashCause,
   CrashEvidence,
   CrashSync,
+  messagesOf,
 } from "../quarantine/mod.ts";
 import type { ConnectionFailure } from "./backend_connection.ts";
 import type { ConnectionPool } from "./connection_pool.ts";
@@ -137,7 +138,7 @@
     const report: CrashReport = { type, crash, ageMs, requests, cleared: [] };
     const news = this.#evidence.add(report);
     if (news === null) return;
-    this.#deps.send(news);
+    this.#send(news);
     this.#logCauses();
   }
 
@@ -145,7 +146,7 @@
   recordSound(suspects: readonly string[]): void {
     const cleared = this.#evidence.addSound(suspects);
     if (cleared.length === 0) return;
-    this.#deps.send({ type: "sound-report", suspects: cleared, ageMs: 0 });
+    this.#send({ type: "sound-report", suspects: cleared, ageMs: 0 });
     this.#logCauses();
   }
 
@@ -154,7 +155,7 @@
     if (this.#evidence.add(report) === null) return;
     if (report.type === "crash-report") {
       const sound = this.#evidence.soundAmong(report);
-      if (sound !== null) this.#deps.send(sound);
+      if (sound !== null) this.#send(sound);
     }
     this.#logCauses();
   }
@@ -164,6 +165,10 @@
     this.#evidence.sweep();
   }
 
+  #send(report: CrashReport | SoundReport): void {
+    for (const message of messagesOf(report)) this.#deps.send(message);
+  }
+
   #logCrash({ crash, requests }: Crash): void {
     this.#deps.events.warn("server-crashed", {
       ...{ crash, ran: requests.length },
--- a/src/direct/suspect_request.ts
+++ b/src/direct/suspect_request.ts
@@ -4,7 +4,8 @@
   type CrashCause,
   fingerprintOf,
   partSuspect,
-  suspectsOf,
+  requestSuspect,
+  SUSPECTS_LIMIT,
 } from "../quarantine/mod.ts";
 import { type Prompt, sharedParts } from "../scheduling/mod.ts";
 import type { BrokenRequest } from "./crash_detector.ts";
@@ -12,9 +13,6 @@
 import type { ResponseProgress } from "./response_progress.ts";
 import type { SendEnd } from "./server_send.ts";
 
-/** Shared parts of one request that are suspected: more aren't reported. */
-const PARTS_LIMIT = 128;
-
 /** What a request consists of. */
 export interface RequestContent {
   readonly team: string | null;
@@ -29,12 +27,13 @@
   readonly #content: RequestContent;
   readonly #parts: readonly string[];
   #fingerprint: string | null = null;
+  #partSuspects: readonly string[] | null = null;
 
   constructor(guard: CrashGuard, content: RequestContent) {
     this.#guard = guard;
     this.#content = content;
     this.#parts = sharedParts(content.prompt?.parts ?? [])
-      .slice(0, PARTS_LIMIT)
+      .slice(0, SUSPECTS_LIMIT)
       .map(({ id }) => id);
   }
 
@@ -53,8 +52,7 @@
 
   /** Records data of a response. */
   recordData(progress: ResponseProgress): void {
-    if (progress.recordData())
-      this.#guard.recordSound(this.#parts.map(partSuspect));
+    if (progress.recordData()) this.#guard.recordSound(this.#suspectedParts);
   }
 
   /** Records the end of a send. */
@@ -68,7 +66,7 @@
 
   #recordComplete(): void {
     const hasStrikes = this.#guard.suspects > 0;
-    const sound = hasStrikes ? this.#suspects() : this.#parts.map(partSuspect);
+    const sound = hasStrikes ? this.#suspects() : this.#suspectedParts;
     this.#guard.recordSound(sound);
   }
 
@@ -83,8 +81,14 @@
     return { fingerprint: this.fingerprint, parts };
   }
 
+  /** Made once: a long prompt has a thousand of them. */
+  get #suspectedParts(): readonly string[] {
+    this.#partSuspects ??= this.#parts.map(partSuspect);
+    return this.#partSuspects;
+  }
+
   #suspects(): string[] {
-    return suspectsOf([this.fingerprint, this.#parts]);
+    return [requestSuspect(this.fingerprint), ...this.#suspectedParts];
   }
 }
 
--- a/src/quarantine/crash_attribution.ts
+++ b/src/quarantine/crash_attribution.ts
@@ -83,17 +83,19 @@
   const byKey = new Map<string, string[]>();
   for (const { groups } of crashes) {
     for (const group of groups.values()) {
-      const held = group.filter((one) => tied.has(one)).sort();
+      const held = [...group].filter((one) => tied.has(one)).sort();
       if (held.length > 0) byKey.set(held.join(), held);
     }
   }
-  const all = [...byKey.values()];
-  return all.filter(
-    (held) =>
-      !all.some(
-        (other) =>
-          other.length > held.length &&
-          held.every((one) => other.includes(one)),
-      ),
-  );
+  const all = [...byKey.values()].map((held) => new Set(held));
+  return all
+    .filter((held) => !all.some((other) => isPartOf(held, other)))
+    .map((held) => [...held]);
+}
+
+function isPartOf(
+  part: ReadonlySet<string>,
+  whole: ReadonlySet<string>,
+): boolean {
+  return whole.size > part.size && [...part].every((one) => whole.has(one));
 }
--- a/src/quarantine/crash_breaker.ts
+++ b/src/quarantine/crash_breaker.ts
@@ -66,8 +66,11 @@
    * @param holder identifies the request: it passes again while it tries
    */
   refusal(suspects: readonly string[], holder: object): CrashCause | null {
-    const matching = this.causes.filter((cause) =>
-      cause.suspects.every((one) => suspects.includes(one)),
+    const { causes } = this;
+    if (causes.length === 0) return null;
+    const own = new Set(suspects);
+    const matching = causes.filter((cause) =>
+      cause.suspects.every((one) => own.has(one)),
     );
     const refusing = matching.find((cause) => !this.#mayTry(cause, holder));
     if (refusing !== undefined) return refusing;
--- a/src/quarantine/crash_evidence.ts
+++ b/src/quarantine/crash_evidence.ts
@@ -25,6 +25,7 @@
   type SuspectGroup,
   suspectsOf,
 } from "./crash_record.ts";
+import { MultiMap } from "./multimap.ts";
 import { SoundSuspects } from "./sound_suspects.ts";
 
 /** Age at which a crash is dropped: three times the longest refusal. */
@@ -32,11 +33,21 @@
 /** Stored crashes, the oldest dropped first: half an hour at one per 7 s. */
 const CRASHES_LIMIT = 256;
 
+/**
+ * Suspects and clearances of all crashes, the oldest crash dropped first: eight
+ * crashes of the largest, or 59 under a prompt of 1,100 parts.
+ */
+const ENTRIES_LIMIT = 65_536;
+/** Dropped crashes that are remembered, so that they aren't stored again. */
+const DROPPED_LIMIT = 4 * CRASHES_LIMIT;
+
 /** Bounded store of crashes; the same in routers and admission processes. */
 export class CrashEvidence {
   readonly #clock: Clock;
   readonly #records = new Map<string, CrashRecord>();
-  readonly #recordsBySuspect = new Map<string, Set<CrashRecord>>();
+  readonly #recordsBySuspect = new MultiMap<CrashRecord>();
+  /** Crashes for which there was no room. */
+  readonly #dropped = new Set<string>();
   /** Those suspects that ran in enough crashes to be their cause. */
   readonly #candidates = new Map<string, ReadonlySet<StoredCrash>>();
   readonly #sound: SoundSuspects;
@@ -86,7 +97,8 @@
   isBehind(digest: CrashDigest): boolean {
     const [crash] = digest;
     const record = this.#records.get(crash);
-    return record?.isBehind(digest) ?? this.#records.size < CRASHES_LIMIT;
+    if (record !== undefined) return record.isBehind(digest);
+    return !this.#dropped.has(crash) && this.#records.size < CRASHES_LIMIT;
   }
 
   /** Adds what another process reports; returns the part that is new. */
@@ -108,7 +120,8 @@
 
   #addReport(report: Omit<CrashReport, "type">): CrashNews {
     const news: CrashNews = { requests: [], cleared: [] };
-    if (report.ageMs > CRASH_MAX_AGE_MS) return news;
+    if (report.ageMs > CRASH_MAX_AGE_MS || this.#dropped.has(report.crash))
+      return news;
     const record = this.#recordOf(report);
     for (const suspect of report.cleared) this.#clear(record, suspect, news);
     for (const request of report.requests) {
@@ -121,6 +134,7 @@
       for (const suspect of added) this.#index(record, suspect);
       if (added.length > 0) news.requests.push(packed(fingerprint, added));
     }
+    this.#makeRoom();
     return news;
   }
 
@@ -129,12 +143,31 @@
     if (known !== undefined) return known;
     const record = new CrashRecord(crash, this.#clock.monotonicMs() - ageMs);
     this.#records.set(crash, record);
-    const [oldest] = this.#records.values();
-    if (this.#records.size > CRASHES_LIMIT && oldest !== undefined)
-      this.#drop(oldest);
     return record;
   }
 
+  #makeRoom(): void {
+    const oldestFirst = [...this.#records.values()].sort(
+      (a, b) => a.atMs - b.atMs,
+    );
+    let entries = oldestFirst.reduce((sum, { size }) => sum + size, 0);
+    for (const record of oldestFirst) {
+      const isOver =
+        entries > ENTRIES_LIMIT || this.#records.size > CRASHES_LIMIT;
+      if (!isOver || this.#records.size === 1) return;
+      entries -= record.size;
+      this.#drop(record);
+      this.#noteDropped(record.id);
+    }
+  }
+
+  #noteDropped(crash: string): void {
+    this.#dropped.add(crash);
+    const [oldest] = this.#dropped;
+    if (this.#dropped.size > DROPPED_LIMIT && oldest !== undefined)
+      this.#dropped.delete(oldest);
+  }
+
   #clear(record: CrashRecord, suspect: string, news: CrashNews): void {
     const isIndexed = record.hasSuspect(suspect);
     if (!record.clear(suspect)) return;
@@ -143,20 +176,18 @@
   }
 
   #index(record: CrashRecord, suspect: string): void {
-    const records = this.#recordsBySuspect.get(suspect) ?? new Set();
-    this.#recordsBySuspect.set(suspect, records.add(record));
-    if (records.size < CAUSE_CRASHES) return;
+    const count = this.#recordsBySuspect.add(suspect, record);
+    const records = this.#recordsBySuspect.setOf(suspect);
+    if (count < CAUSE_CRASHES || records === null) return;
     this.#candidates.set(suspect, records);
     this.#candidatesVersion += 1;
   }
 
   #removeFromIndex(record: CrashRecord, suspect: string): void {
-    const records = this.#recordsBySuspect.get(suspect);
-    records?.delete(record);
-    if (records?.size === 0) this.#recordsBySuspect.delete(suspect);
+    const left = this.#recordsBySuspect.remove(suspect, record);
     if (!this.#candidates.has(suspect)) return;
     this.#candidatesVersion += 1;
-    if ((records?.size ?? 0) < CAUSE_CRASHES) this.#candidates.delete(suspect);
+    if (left < CAUSE_CRASHES) this.#candidates.delete(suspect);
   }
 
   /**
@@ -172,7 +203,7 @@
     const news: CrashNews = { requests: [], cleared: [] };
     for (const suspect of suspects) {
       this.#sound.add(suspect, atMs);
-      for (const record of [...(this.#recordsBySuspect.get(suspect) ?? [])])
+      for (const record of this.#recordsBySuspect.valuesOf(suspect))
         if (this.#sound.covers(suspect, record.atMs))
           this.#clear(record, suspect, news);
     }
@@ -225,7 +256,7 @@
 
 function packed(fingerprint: string, group: SuspectGroup): SuspectRequest {
   const prefix = partSuspect("");
-  const parts = group
+  const parts = [...group]
     .filter((one) => one.startsWith(prefix))
     .map((one) => one.slice(prefix.length));
   return [fingerprint, parts];
--- a/src/quarantine/crash_record.ts
+++ b/src/quarantine/crash_record.ts
@@ -7,14 +7,18 @@
 
 import { fnv1a, mix } from "../common/text_hash.ts";
 import type { CrashDigest, SuspectRequest } from "../protocol/mod.ts";
+import { MultiMap } from "./multimap.ts";
 
-/** Suspects of one crash: all slots of a large engine, three parts each. */
-const SUSPECTS_LIMIT = 256;
+/**
+ * Suspects of one crash, which may be parts of prompts as long as their heads
+ * allow: seven requests that hadn't begun, with 1,100 parts each.
+ */
+export const SUSPECTS_LIMIT = 8_192;
 /** Cleared suspects that are remembered. */
-const CLEARED_LIMIT = 256;
+const CLEARED_LIMIT = SUSPECTS_LIMIT;
 
 /** Suspects of one request that ran in a crash. */
-export type SuspectGroup = readonly string[];
+export type SuspectGroup = Iterable<string>;
 
 /** A crash as it is read by the attribution of causes. */
 export interface StoredCrash {
@@ -50,9 +54,9 @@
 export class CrashRecord implements StoredCrash {
   readonly id: string;
   readonly atMs: number;
-  readonly #groups = new Map<string, SuspectGroup>();
+  readonly #groups = new Map<string, Set<string>>();
   /** Fingerprints of the requests that had a suspect. */
-  readonly #holders = new Map<string, Set<string>>();
+  readonly #holders = new MultiMap<string>();
   readonly #cleared = new Set<string>();
   /** Sum of the lengths of all groups. */
   #size = 0;
@@ -68,6 +72,11 @@
     return this.#groups;
   }
 
+  /** Entries that are kept. */
+  get size(): number {
+    return this.#size + this.#cleared.size;
+  }
+
   /** Suspects that no sound response has cleared. */
   get suspects(): Iterable<string> {
     return this.#holders.keys();
@@ -111,17 +120,17 @@
 
   /** Adds suspects of a request; returns those that are new. */
   addSuspects(fingerprint: string, suspects: readonly string[]): string[] {
-    const known = this.#groups.get(fingerprint) ?? [];
+    const group = this.#groups.get(fingerprint) ?? new Set();
     const room = Math.max(0, SUSPECTS_LIMIT - this.#size);
     const added = [...new Set(suspects)]
-      .filter((one) => !known.includes(one) && !this.#cleared.has(one))
+      .filter((one) => !group.has(one) && !this.#cleared.has(one))
       .slice(0, room);
     if (added.length === 0) return added;
-    this.#groups.set(fingerprint, [...known, ...added]);
+    this.#groups.set(fingerprint, group);
     this.#size += added.length;
     for (const suspect of added) {
-      const holders = this.#holders.get(suspect) ?? new Set();
-      this.#holders.set(suspect, holders.add(fingerprint));
+      group.add(suspect);
+      this.#holders.add(suspect, fingerprint);
       this.#addToDigest(holdingOf(fingerprint, suspect));
     }
     return added;
@@ -134,17 +143,16 @@
       this.#cleared.add(suspect);
       this.#addToDigest(clearanceOf(suspect));
     } else if (!this.#holders.has(suspect)) return false;
-    for (const fingerprint of this.#holders.get(suspect) ?? [])
+    for (const fingerprint of this.#holders.valuesOf(suspect))
       this.#removeFromGroup(fingerprint, suspect);
     this.#holders.delete(suspect);
     return true;
   }
 
   #removeFromGroup(fingerprint: string, suspect: string): void {
-    const group = this.#groups.get(fingerprint) ?? [];
-    const left = group.filter((one) => one !== suspect);
-    if (left.length > 0) this.#groups.set(fingerprint, left);
-    else this.#groups.delete(fingerprint);
+    const group = this.#groups.get(fingerprint);
+    group?.delete(suspect);
+    if (group?.size === 0) this.#groups.delete(fingerprint);
     this.#size -= 1;
     this.#addToDigest(-holdingOf(fingerprint, suspect));
   }
--- a/src/quarantine/crash_sync.ts
+++ b/src/quarantine/crash_sync.ts
@@ -10,6 +10,7 @@
 import type { Clock } from "../common/clock.ts";
 import type { CrashReport, CrashSyncMessage } from "../protocol/mod.ts";
 import type { CrashEvidence } from "./crash_evidence.ts";
+import { crashMessagesOf } from "./report_messages.ts";
 
 /**
  * Time for which a record that was asked for isn't asked for again: many peers
@@ -98,7 +99,11 @@
 
   #answer(crash: string): CrashSyncMessage[] {
     const report = this.#evidence.reportOf(crash);
-    return report === null ? [] : [{ ...report, type: "crash-record" }];
+    if (report === null) return [];
+    return crashMessagesOf(report).map((message) => ({
+      ...message,
+      type: "crash-record",
+    }));
   }
 }
 
--- a/src/quarantine/sound_suspects.ts
+++ b/src/quarantine/sound_suspects.ts
@@ -7,8 +7,8 @@
  * servers does so at each of them, so it can't be answered meanwhile.
  */
 const SOUND_MS = 5_000;
-/** Remembered suspects: 5 s of 800 new ones a second. */
-const SOUND_LIMIT = 4_096;
+/** Remembered suspects: those of 14 different prompts of 1,100 parts. */
+const SOUND_LIMIT = 16_384;
 
 /** Bounded map; the longest unused is dropped first. */
 export class SoundSuspects {
