common: a response that has ended no longer pauses its connection

Callers saw (since, one hour): a request waited for the caller of another one, if that had read slowly and its response had a length. Cause: a response may end while its reader is paused; its connection is used for the next request and stayed paused until the first caller had read. Change: the end of a response releases its connection; a reader's later calls have no effect on the next response, and none while undici parses. Failed before: paused_response_test 'a connection is read on after a response whose reader is paused' ('test timed out after 5000ms').

--- a/src/common/read_pause.ts
+++ b/src/common/read_pause.ts
@@ -36,7 +36,12 @@
     this.#isPaused = true;
   }
 
-  /** Lets the client read on, at once. */
+  /** Lets the client read on once it asks for more. */
+  release(): void {
+    this.#isPaused = false;
+  }
+
+  /** Lets the client read on, at once; not while it is parsing. */
   resume(): void {
     if (!this.#isPaused) return;
     this.#isPaused = false;
@@ -49,46 +54,89 @@
   handler: Handler,
   currentPause: () => ReadPause,
 ): Handler {
-  let controller: Controller | null = null;
-  const wrap = (inner: Controller) => {
-    controller ??= wrapController(inner, currentPause());
-    return controller;
-  };
+  const paused = new PausedResponse(currentPause);
   return {
     onRequestStart: (inner, context) =>
-      handler.onRequestStart?.(wrap(inner), context),
+      paused.call(inner, (outer) => handler.onRequestStart?.(outer, context)),
     onRequestUpgrade: (inner, ...rest) =>
-      handler.onRequestUpgrade?.(wrap(inner), ...rest),
+      paused.call(inner, (outer) => handler.onRequestUpgrade?.(outer, ...rest)),
     onResponseStart: (inner, ...rest) =>
-      handler.onResponseStart?.(wrap(inner), ...rest),
+      paused.call(inner, (outer) => handler.onResponseStart?.(outer, ...rest)),
     onResponseData: (inner, chunk) =>
-      handler.onResponseData?.(wrap(inner), chunk),
-    onResponseEnd: (inner, trailers) =>
-      handler.onResponseEnd?.(wrap(inner), trailers),
-    onResponseError: (inner, error) =>
-      handler.onResponseError?.(wrap(inner), error),
-  };
-}
-
-function wrapController(inner: Controller, pause: ReadPause): Controller {
-  return {
-    get aborted() {
-      return inner.aborted;
-    },
-    get paused() {
-      return pause.isPaused;
+      paused.call(inner, (outer) => handler.onResponseData?.(outer, chunk)),
+    onResponseEnd: (inner, trailers) => {
+      paused.end();
+      paused.call(inner, (outer) => handler.onResponseEnd?.(outer, trailers));
     },
-    get reason() {
-      return inner.reason;
+    onResponseError: (inner, error) => {
+      paused.end();
+      paused.call(inner, (outer) => handler.onResponseError?.(outer, error));
     },
-    get rawHeaders() {
-      return inner.rawHeaders ?? null;
-    },
-    get rawTrailers() {
-      return inner.rawTrailers ?? null;
-    },
-    abort: (reason) => inner.abort(reason),
-    pause: () => pause.pause(),
-    resume: () => pause.resume(),
   };
 }
+
+/** One response on a connection that carries others before and after it. */
+class PausedResponse {
+  readonly #currentPause: () => ReadPause;
+  #controller: Controller | null = null;
+  #pause: ReadPause | null = null;
+  #isParsing = false;
+  #hasEnded = false;
+
+  constructor(currentPause: () => ReadPause) {
+    this.#currentPause = currentPause;
+  }
+
+  /** Calls a handler with a controller that pauses at the connection. */
+  call(inner: Controller, callback: (outer: Controller) => void): void {
+    this.#pause ??= this.#currentPause();
+    this.#controller ??= this.#wrap(inner);
+    this.#isParsing = true;
+    try {
+      callback(this.#controller);
+    } finally {
+      this.#isParsing = false;
+    }
+  }
+
+  /**
+   * The connection may carry another response now: a reader that has all of this
+   * one may not have taken it yet, or never take it.
+   */
+  end(): void {
+    this.#hasEnded = true;
+    this.#pause?.release();
+  }
+
+  #resume(): void {
+    if (this.#hasEnded) return;
+    if (this.#isParsing) this.#pause?.release();
+    else this.#pause?.resume();
+  }
+
+  #wrap(inner: Controller): Controller {
+    const isPaused = () => !this.#hasEnded && (this.#pause?.isPaused ?? false);
+    return {
+      get aborted() {
+        return inner.aborted;
+      },
+      get paused() {
+        return isPaused();
+      },
+      get reason() {
+        return inner.reason;
+      },
+      get rawHeaders() {
+        return inner.rawHeaders ?? null;
+      },
+      get rawTrailers() {
+        return inner.rawTrailers ?? null;
+      },
+      abort: (reason) => inner.abort(reason),
+      pause: () => {
+        if (!this.#hasEnded) this.#pause?.pause();
+      },
+      resume: () => this.#resume(),
+    };
+  }
+}
--- a/tests/direct/paused_response_test.ts
+++ b/tests/direct/paused_response_test.ts
@@ -95,3 +95,40 @@
     });
   }
 }
+
+// Guards against requests that wait for a caller of another one: a response may end
+// while its reader is paused, and its connection is used again.
+const CONNECTION_TEST = { timeout: TIMEOUT_MS };
+test(
+  "a connection is read on after a response whose reader is paused",
+  CONNECTION_TEST,
+  async () => {
+    const opened = await connect();
+    server.script = ({ socket }) => {
+      socket.write("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine");
+    };
+    let resume = () => {};
+    const send = () =>
+      new Promise<string>((resolve, reject) => {
+        let text = "";
+        opened.send(
+          { method: "GET", path: "/", headers: [], body: Buffer.alloc(0) },
+          {
+            onRequestStart: () => {},
+            onResponseData: (controller, chunk) => {
+              text += chunk.toString("latin1");
+              controller.pause();
+              resume = () => controller.resume();
+            },
+            onResponseEnd: () => resolve(text),
+            onResponseError: (_controller, error) => reject(error),
+          },
+        );
+      });
+    for (let count = 0; count < 3; count += 1) {
+      assert.equal(await send(), "fine");
+      // The reader of a response that has ended has no say in the next one.
+      if (count === 1) resume();
+    }
+  },
+);
