common: a freed buffer doesn't go on in its old memory

Callers saw (since, half an hour): events of streams without a length that were lost or mixed up, after a large one. Cause: a buffer that is used again took small pieces into new memory and large ones into its old memory, without those before. Change: a freed buffer keeps no memory.

--- a/src/common/byte_buffer.ts
+++ b/src/common/byte_buffer.ts
@@ -70,6 +70,7 @@
   /** Frees the memory at once; what is read from it then is empty. */
   free(): void {
     this.#resizable?.resize(0);
+    this.#resizable = null;
     this.#memory = Buffer.alloc(0);
     this.#sizeBytes = 0;
   }
--- a/tests/common/byte_buffer_test.ts
+++ b/tests/common/byte_buffer_test.ts
@@ -23,6 +23,22 @@
   );
 });
 
+// Guards against bytes that are lost in a buffer that was large before.
+test("pieces come out as they went in after a buffer was freed", () => {
+  const buffer = new ByteBuffer(LIMIT_BYTES);
+  for (let use = 1; use <= 3; use += 1) {
+    const pieces = Array.from({ length: 20 }, (_, index) =>
+      Buffer.alloc(10_000 + index, use * 20 + index),
+    );
+    for (const [index, piece] of pieces.entries()) {
+      assert.ok(buffer.append(piece));
+      const expected = Buffer.concat(pieces.slice(0, index + 1));
+      assert.ok(buffer.bytes.equals(expected), `piece ${index} of use ${use}`);
+    }
+    buffer.free();
+  }
+});
+
 test("memory stays within twice the bytes, and is freed at once", () => {
   const buffer = new ByteBuffer(LIMIT_BYTES);
   for (let sent = 0; sent < 200_000; sent += 1) buffer.append(Buffer.from("x"));
