quarantine: bound the records that one query brings

Callers saw: nothing; found by reading again. A process that starts would get 16 records of up to 8,192 suspects in one turn of another's event loop. Change: 4,096 entries in one turn, or one record; the rest is asked for again. Failed before: long_prompts_test 'a process that starts anew is told of many long prompts bit by bit' ('18000 entries in one turn').

--- a/src/quarantine/crash_sync.ts
+++ b/src/quarantine/crash_sync.ts
@@ -20,6 +20,11 @@
 
 /** Records that are asked for at once: they are encoded and decoded in one turn. */
 const QUERY_LIMIT = 16;
+/**
+ * Entries of records that are sent in reply to one query, or one record: as many as
+ * those of 16 usual crashes. The rest is asked for again.
+ */
+const ANSWER_LIMIT_ENTRIES = 4_096;
 
 /** Called with each record that the other process has and this one hasn't. */
 export type RecordReceiver = (record: CrashReport) => void;
@@ -56,7 +61,7 @@
       case "crash-offer":
         return this.#query(message);
       case "crash-query":
-        return message.crashes.flatMap((crash) => this.#answer(crash));
+        return this.#answerAll(message.crashes);
       case "crash-record":
         this.#askedAtMs.delete(message.crash);
         this.#onRecord({ ...message, type: "crash-report" });
@@ -97,13 +102,18 @@
     return [this.summary];
   }
 
-  #answer(crash: string): CrashSyncMessage[] {
-    const report = this.#evidence.reportOf(crash);
-    if (report === null) return [];
-    return crashMessagesOf(report).map((message) => ({
-      ...message,
-      type: "crash-record",
-    }));
+  #answerAll(crashes: readonly string[]): CrashSyncMessage[] {
+    const answers: CrashSyncMessage[] = [];
+    let entries = 0;
+    for (const crash of crashes) {
+      const report = this.#evidence.reportOf(crash);
+      if (report === null) continue;
+      entries += report.requests.flat(2).length + report.cleared.length;
+      if (answers.length > 0 && entries > ANSWER_LIMIT_ENTRIES) break;
+      for (const message of crashMessagesOf(report))
+        answers.push({ ...message, type: "crash-record" });
+    }
+    return answers;
   }
 }
 
--- a/tests/quarantine/long_prompts_test.ts
+++ b/tests/quarantine/long_prompts_test.ts
@@ -143,6 +143,29 @@
   assert.equal(other.isRefused(promptWith({ 77: "bad" })), true);
 });
 
+test("a process that starts anew is told of many long prompts bit by bit", () => {
+  const one = createProcess();
+  const other = createProcess(one.clock);
+  for (let count = 0; count < 20; count += 1)
+    one.crash(promptWith({ [count]: "bad" }));
+  for (let round = 0; round < 10; round += 1) {
+    one.clock.advance(500);
+    let messages = [one.sync.summary];
+    let receiver = other;
+    while (messages.length > 0) {
+      const process = receiver;
+      messages = messages.flatMap((message) => {
+        const replies = process.sync.handle(message);
+        const entries = JSON.stringify(replies).split(",").length;
+        assert.ok(entries < 3 * 4_096, `${entries} entries in one turn`);
+        return replies;
+      });
+      receiver = receiver === one ? other : one;
+    }
+  }
+  assert.equal(other.evidence.summary, one.evidence.summary);
+});
+
 test("memory stays bounded, whatever prompts are reported", () => {
   const { evidence, crash, isRefused } = createProcess();
   const heapBytes = () => {
