--- a/src/direct/stream_origins.ts
+++ b/src/direct/stream_origins.ts
@@ -164,8 +164,8 @@
   }
 
   /** Records that a response is complete: nobody takes its stream up. */
-  noteEnd(request: string): void {
-    this.#replicated.delete(shortKey(request));
+  noteEnd(id: string): void {
+    this.#replicated.delete(shortKey(id));
   }
 
   /** Handles an admission controller's answer. */
