side_process, tests: drop pass-through handlers and a repeated reader

What callers saw: nothing; behaviour is as before. Cause: the side process's handler passed five calls on by hand, which was needed while its inner handler was an instance of a class; it is a plain object since. Two tests of paused responses built the same reader. Change: spread the handler; one reader for both tests, which now check the outcome of the second one, too; a blank line that was lost in crash_relay.ts. Ruled out: merging the limits of timers in the decoder and at the timers: messages carry the former, the product's own path needs the latter.

--- a/src/admission/crash_relay.ts
+++ b/src/admission/crash_relay.ts
@@ -20,6 +20,7 @@
  * under the next request with the same cause.
  */
 const COLLECT_MS = 50;
+
 /** News of one crash. */
 interface CollectedCrash {
   readonly reportedAtMs: number;
--- a/src/side_process/server_client.ts
+++ b/src/side_process/server_client.ts
@@ -88,11 +88,7 @@
     () => connection.readPause,
   );
   return {
-    onRequestStart: (...args) => handler.onRequestStart?.(...args),
-    onRequestUpgrade: (...args) => handler.onRequestUpgrade?.(...args),
-    onResponseStart: (...args) => handler.onResponseStart?.(...args),
-    onResponseData: (...args) => handler.onResponseData?.(...args),
-    onResponseError: (...args) => handler.onResponseError?.(...args),
+    ...handler,
     onResponseEnd: (controller, trailers) => {
       const { error } = connection.end;
       if (error === null) handler.onResponseEnd?.(controller, trailers);
--- a/tests/direct/paused_response_test.ts
+++ b/tests/direct/paused_response_test.ts
@@ -6,6 +6,7 @@
 import assert from "node:assert/strict";
 import { afterEach, test } from "node:test";
 import { setTimeout as delay } from "node:timers/promises";
+import { Deferred } from "../../src/common/promises.ts";
 import { BackendConnection } from "../../src/direct/backend_connection.ts";
 import type { BackendServer } from "../../src/directory/mod.ts";
 import {
@@ -44,6 +45,30 @@
   return connection;
 }
 
+const REQUEST = {
+  ...{ method: "GET", path: "/", headers: [] },
+  body: Buffer.alloc(0),
+};
+
+/** A reader that pauses at each piece of a response. */
+function createReader(
+  opened: BackendConnection,
+  onEnd: (outcome: "ended" | "reset" | "failed") => void,
+) {
+  const reader = { text: "", resume: () => {} };
+  opened.send(REQUEST, {
+    onRequestStart: () => {},
+    onResponseData: (controller, chunk) => {
+      reader.text += chunk.toString("latin1");
+      controller.pause();
+      reader.resume = () => controller.resume();
+    },
+    onResponseEnd: () => onEnd(opened.error === null ? "ended" : "reset"),
+    onResponseError: () => onEnd("failed"),
+  });
+  return reader;
+}
+
 async function firstRequest(): Promise<ReceivedRequest> {
   await until("the request arrives", TIMEOUT_MS, {
     holds: () => server.requests.length > 0,
@@ -57,26 +82,10 @@
   for (const end of ENDS) {
     test(`a paused response with ${framing} ends with a ${end}`, async () => {
       const opened = await connect();
-      let text = "";
       let outcome = "open";
-      let resume = () => {};
-      opened.send(
-        { method: "GET", path: "/", headers: [], body: Buffer.alloc(0) },
-        {
-          onRequestStart: () => {},
-          onResponseData: (controller, chunk) => {
-            text += chunk.toString("latin1");
-            controller.pause();
-            resume = () => controller.resume();
-          },
-          onResponseEnd: () => {
-            outcome = opened.error === null ? "ended" : "reset";
-          },
-          onResponseError: () => {
-            outcome = "failed";
-          },
-        },
-      );
+      const reader = createReader(opened, (end) => {
+        outcome = end;
+      });
       const { socket } = await firstRequest();
       socket.write(head);
       await delay(READ_MS);
@@ -85,11 +94,11 @@
       if (end === "reset") socket.resetAndDestroy();
       else socket.end(framing === "chunks" ? "0\r\n\r\n" : "");
       await delay(READ_MS);
-      resume();
+      reader.resume();
       await until("the response ends", TIMEOUT_MS, {
         holds: () => outcome !== "open",
       });
-      assert.equal(text, "fine");
+      assert.equal(reader.text, "fine");
       if (end === "FIN") assert.equal(outcome, "ended");
       else if (framing !== "a length") assert.notEqual(outcome, "ended");
     });
@@ -107,28 +116,13 @@
     server.script = ({ socket }) => {
       socket.write("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nfine");
     };
-    let resume = () => {};
-    const send = () =>
-      new Promise<string>((resolve, reject) => {
-        let text = "";
-        opened.send(
-          { method: "GET", path: "/", headers: [], body: Buffer.alloc(0) },
-          {
-            onRequestStart: () => {},
-            onResponseData: (controller, chunk) => {
-              text += chunk.toString("latin1");
-              controller.pause();
-              resume = () => controller.resume();
-            },
-            onResponseEnd: () => resolve(text),
-            onResponseError: (_controller, error) => reject(error),
-          },
-        );
-      });
     for (let count = 0; count < 3; count += 1) {
-      assert.equal(await send(), "fine");
+      const ended = new Deferred<string>();
+      const reader = createReader(opened, (end) => ended.resolve(end));
+      assert.equal(await ended.promise, "ended");
+      assert.equal(reader.text, "fine");
       // The reader of a response that has ended has no say in the next one.
-      if (count === 1) resume();
+      if (count === 1) reader.resume();
     }
   },
 );
